--- /dev/null
+++ b/crates/seating/src/cache/l2.rs
@@ -0,0 +1,286 @@
+use super::events::{Change, Log, shard};
+use super::l1::{Found, L1};
+use super::opts::{Ctx, Fetched, Opts, Soft, Ttl, end};
+use crate::base::{Us, Ver};
+use lru::LruCache;
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard};
+
+#[derive(Clone, Debug)]
+struct Item<V> {
+    val: Option<V>,
+    end: Us,
+    ver: Ver,
+    weight: usize,
+    risen: bool,
+}
+
+#[derive(Debug)]
+struct Zone<V> {
+    lru: LruCache<String, Item<V>>,
+    used: usize,
+    room: usize,
+}
+
+impl<V> Zone<V> {
+    fn new(room: usize) -> Self {
+        Zone { lru: LruCache::unbounded(), used: 0, room }
+    }
+
+    fn pop(&mut self, k: &str) -> Option<Item<V>> {
+        let i = self.lru.pop(k)?;
+        self.used -= i.weight;
+        Some(i)
+    }
+
+    /// Frees the oldest items up to `evict` at a try, `tries` times.
+    fn set(&mut self, k: &str, i: Item<V>, evict: usize, tries: u32) -> (bool, u64) {
+        self.pop(k);
+        let mut gone = 0;
+        for _ in 0..tries.max(1) {
+            if self.used + i.weight <= self.room {
+                self.used += i.weight;
+                self.lru.put(k.to_owned(), i);
+                return (true, gone);
+            }
+            for _ in 0..evict {
+                let Some((_, o)) = self.lru.pop_lru() else { break };
+                self.used -= o.weight;
+                gone += 1;
+            }
+        }
+        if self.used + i.weight <= self.room {
+            self.used += i.weight;
+            self.lru.put(k.to_owned(), i);
+            return (true, gone);
+        }
+        (false, gone)
+    }
+}
+
+#[derive(Debug)]
+struct Shard<V> {
+    hits: Zone<V>,
+    /// Misses stand apart, so that a crowd of unknown keys evicts no known one.
+    miss: Zone<V>,
+    /// Locks stand apart too: they take no room from values.
+    locks: HashMap<String, (u64, Us)>,
+    n: u64,
+}
+
+/// The right to fetch one key.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Lock {
+    n: u64,
+}
+
+#[derive(Debug)]
+pub enum Look<V> {
+    Hit {
+        val: Option<V>,
+        end: Us,
+        level: u8,
+    },
+    Lead(Lock),
+    Wait,
+    /// Nothing is known and nothing was to be fetched.
+    None,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peek<V> {
+    /// Below nought for a stale value.
+    pub left: i128,
+    pub val: Option<V>,
+}
+
+/// The layer that all threads share, in shards with a lock each.
+#[derive(Debug)]
+pub struct L2<V> {
+    sh: Vec<Mutex<Shard<V>>>,
+    pub opts: Opts,
+    pub log: Log,
+}
+
+impl<V: Clone> L2<V> {
+    pub fn new(opts: Opts) -> Self {
+        let sh = (0..opts.shards.max(1))
+            .map(|_| {
+                Mutex::new(Shard {
+                    hits: Zone::new(opts.room),
+                    miss: Zone::new(opts.miss_room),
+                    locks: HashMap::new(),
+                    n: 0,
+                })
+            })
+            .collect();
+        L2 { sh, opts, log: Log::default() }
+    }
+
+    fn at(&self, k: &str) -> MutexGuard<'_, Shard<V>> {
+        match self.sh[shard(k, self.sh.len())].lock() {
+            Ok(g) => g,
+            Err(e) => e.into_inner(),
+        }
+    }
+
+    pub fn look(&self, k: &str, c: Ctx, fetch: bool) -> Look<V> {
+        let mut s = self.at(k);
+        let s = &mut *s;
+        for z in [&mut s.hits, &mut s.miss] {
+            if let Some(i) = z.lru.get(k)
+                && i.ver == c.ver
+                && i.end > c.now
+            {
+                let level = if i.risen { 4 } else { 2 };
+                return Look::Hit { val: i.val.clone(), end: i.end, level };
+            }
+        }
+        if !fetch {
+            return Look::None;
+        }
+        if s.locks.get(k).is_some_and(|l| l.1 > c.now) {
+            return Look::Wait;
+        }
+        s.n += 1;
+        let n = s.n;
+        s.locks.insert(k.to_owned(), (n, c.now.saturating_add(self.opts.lock_ttl)));
+        Look::Lead(Lock { n })
+    }
+
+    /// The end of a fetch: L2 is written, then L1; a soft trouble may raise a
+    /// stale value, one that broke off does not.
+    pub fn finish(
+        &self,
+        l1: &mut L1<V>,
+        k: &str,
+        l: &Lock,
+        r: Fetched<V>,
+        weight: usize,
+        c: Ctx,
+    ) -> Result<Found<V>, Soft> {
+        let mut s = self.at(k);
+        let mine = s.locks.get(k).is_some_and(|x| x.0 == l.n);
+        if mine {
+            s.locks.remove(k);
+        }
+        match r {
+            Ok((val, ttl)) => {
+                let t = match (ttl, &val) {
+                    (Ttl::Never, _) => return Ok(Found { val, level: 3 }),
+                    (Ttl::For(t), _) => t,
+                    (Ttl::Usual, Some(_)) => self.opts.ttl,
+                    (Ttl::Usual, None) => self.opts.neg_ttl,
+                };
+                let e = end(c.now, t);
+                if mine {
+                    self.store(&mut s, k, Item { val: val.clone(), end: e, ver: c.ver, weight, risen: false });
+                    l1.put(k, val.clone(), e, c.ver);
+                }
+                Ok(Found { val, level: 3 })
+            }
+            Err(Soft::Broke(w)) => Err(Soft::Broke(w)),
+            Err(w) => {
+                let Some(t) = self.opts.resurrect else { return Err(w) };
+                let Some(i) = s.hits.lru.peek(k).filter(|i| i.ver == c.ver).cloned() else { return Err(w) };
+                let e = c.now.saturating_add(t);
+                let val = i.val.clone();
+                if mine {
+                    self.store(&mut s, k, Item { end: e, risen: true, ..i });
+                    l1.put(k, val.clone(), e, c.ver);
+                }
+                Ok(Found { val, level: 4 })
+            }
+        }
+    }
+
+    fn store(&self, s: &mut Shard<V>, k: &str, i: Item<V>) -> bool {
+        let (o, t) = (self.opts.evict, self.opts.set_tries);
+        if i.val.is_some() {
+            s.miss.pop(k);
+            s.hits.set(k, i, o, t).0
+        } else {
+            s.hits.pop(k);
+            s.miss.set(k, i, o, t).0
+        }
+    }
+
+    /// For a waiter whose patience ended: the stale value, not raised.
+    pub fn stale(&self, k: &str, c: Ctx) -> Result<Found<V>, Soft> {
+        if self.opts.resurrect.is_none() {
+            return Err(Soft::LockWait);
+        }
+        let s = self.at(k);
+        match s.hits.lru.peek(k).filter(|i| i.ver == c.ver) {
+            Some(i) => Ok(Found { val: i.val.clone(), level: 4 }),
+            None => Err(Soft::LockWait),
+        }
+    }
+
+    /// Whether somebody still fetches this key.
+    pub fn busy(&self, k: &str, now: Us) -> bool {
+        self.at(k).locks.get(k).is_some_and(|l| l.1 > now)
+    }
+
+    /// Looks without counting as a use and without promotion.
+    pub fn peek(&self, k: &str, stale: bool, c: Ctx) -> Option<Peek<V>> {
+        let s = self.at(k);
+        let i = s.hits.lru.peek(k).or_else(|| s.miss.lru.peek(k)).filter(|i| i.ver == c.ver)?;
+        let left = i128::from(i.end) - i128::from(c.now);
+        if left <= 0 && !stale {
+            return None;
+        }
+        Some(Peek { left, val: i.val.clone() })
+    }
+
+    pub fn set(&self, k: &str, val: Option<V>, ttl: Ttl, weight: usize, c: Ctx) -> bool {
+        let t = match (ttl, &val) {
+            (Ttl::Never, _) => return true,
+            (Ttl::For(t), _) => t,
+            (Ttl::Usual, Some(_)) => self.opts.ttl,
+            (Ttl::Usual, None) => self.opts.neg_ttl,
+        };
+        let i = Item { val, end: end(c.now, t), ver: c.ver, weight, risen: false };
+        let ok = {
+            let mut s = self.at(k);
+            s.locks.remove(k);
+            self.store(&mut s, k, i)
+        };
+        self.log.publish(Change::Key(k.to_owned()));
+        ok
+    }
+
+    pub fn delete(&self, k: &str) {
+        {
+            let mut s = self.at(k);
+            s.hits.pop(k);
+            s.miss.pop(k);
+            s.locks.remove(k);
+        }
+        self.log.publish(Change::Key(k.to_owned()));
+    }
+
+    pub fn purge(&self) {
+        for i in 0..self.sh.len() {
+            let mut s = match self.sh[i].lock() {
+                Ok(g) => g,
+                Err(e) => e.into_inner(),
+            };
+            s.hits = Zone::new(self.opts.room);
+            s.miss = Zone::new(self.opts.miss_room);
+            s.locks.clear();
+        }
+        self.log.publish(Change::Purge);
+    }
+
+    /// Values and misses held.
+    pub fn size(&self) -> (usize, usize) {
+        self.sh.iter().fold((0, 0), |a, m| {
+            let s = match m.lock() {
+                Ok(g) => g,
+                Err(e) => e.into_inner(),
+            };
+            (a.0 + s.hits.lru.len(), a.1 + s.miss.lru.len())
+        })
+    }
+}
--- /dev/null
+++ b/crates/seating/src/cache/mod.rs
@@ -0,0 +1,12 @@
+//! The layered cache of the design: L1 for each thread, L2 for the process,
+//! one fetch for each key. It decides nothing; it holds what was last learned.
+
+mod events;
+mod l1;
+mod l2;
+mod opts;
+
+pub use events::{Change, Log};
+pub use l1::{Found, L1, Step, get};
+pub use l2::{L2, Lock, Look, Peek};
+pub use opts::{Ctx, Fetched, Opts, Soft, Ttl};
--- /dev/null
+++ b/crates/seating/src/cache/opts.rs
@@ -0,0 +1,73 @@
+use crate::base::{MS, SEC, Us, Ver};
+use displaydoc::Display;
+
+#[derive(Clone, Debug)]
+pub struct Opts {
+    pub lru: usize,
+    /// Nought: a value never ends by time.
+    pub ttl: Us,
+    pub neg_ttl: Us,
+    /// None: a stale value is never given in place of a trouble.
+    pub resurrect: Option<Us>,
+    pub set_tries: u32,
+    pub evict: usize,
+    pub shards: usize,
+    /// How much one shard holds, in weights.
+    pub room: usize,
+    pub miss_room: usize,
+    pub lock_wait: Us,
+    /// A fetch that takes longer has lost its lock.
+    pub lock_ttl: Us,
+    pub update: Us,
+}
+
+impl Default for Opts {
+    fn default() -> Self {
+        Opts {
+            lru: 100,
+            ttl: 30 * SEC,
+            neg_ttl: 5 * SEC,
+            resurrect: Some(5 * SEC),
+            set_tries: 3,
+            evict: 30,
+            shards: 16,
+            room: 1 << 20,
+            miss_room: 1 << 18,
+            lock_wait: 500 * MS,
+            lock_ttl: 5 * SEC,
+            update: 300 * MS,
+        }
+    }
+}
+
+/// The moment of a lookup: no entry of another version is given, stale or not.
+#[derive(Clone, Copy, Debug)]
+pub struct Ctx {
+    pub now: Us,
+    pub ver: Ver,
+}
+
+/// What a fetch says about how long its value may be kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ttl {
+    Usual,
+    For(Us),
+    Never,
+}
+
+pub type Fetched<V> = Result<(Option<V>, Ttl), Soft>;
+
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum Soft {
+    /// the fetch did not succeed: {0}; it is tried again at the next lookup
+    Fetch(String),
+    /// the fetch broke off: {0}; look at the log of this node
+    Broke(String),
+    /// waited too long for the fetch of another call; try again
+    LockWait,
+}
+
+/// When an entry that is set now with this time to live ends.
+pub(super) fn end(now: Us, ttl: Us) -> Us {
+    if ttl == 0 { Us::MAX } else { now.saturating_add(ttl) }
+}
--- /dev/null
+++ b/crates/seating/src/config/check/judge.rs
@@ -0,0 +1,249 @@
+use super::Trouble;
+use super::read::{Read, wrong};
+use super::shape::shape;
+use crate::base::MS;
+use crate::config::tree::{Kind, Match, OnRevoke, Plan, Pool, Quota, Tenant};
+use sonic_rs::JsonValueTrait;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const SHARED: [&str; 10] =
+    ["wait_ms", "first_ms", "idle_ms", "max_body", "prompt", "prefix_chars", "repeat", "resume", "on_revoke", "kind"];
+
+pub fn revoke_name(r: OnRevoke) -> &'static str {
+    match r {
+        OnRevoke::Finish => "finish",
+        OnRevoke::Cut => "cut",
+    }
+}
+
+/// Compiles a tree, or lists everything that is wrong with it.
+pub fn judge(s: &str) -> Result<Plan, Vec<Trouble>> {
+    let mut out = shape(s);
+    if !out.is_empty() {
+        return Err(out);
+    }
+    let v: sonic_rs::Value = match sonic_rs::from_str(s) {
+        Ok(v) => v,
+        Err(e) => return Err(vec![Trouble::NotJson(e.to_string())]),
+    };
+    let r = Read::root(&v, &mut out);
+    r.only(&["defaults", "pools", "matches", "tenants"], &mut out);
+    let d = r.sub("defaults", &mut out);
+    let mut known = SHARED.to_vec();
+    known.extend(["quota", "weight"]);
+    d.only(&known, &mut out);
+    let base = Match {
+        name: String::new(),
+        method: "POST".into(),
+        path: String::new(),
+        pool: String::new(),
+        kind: Kind::Chat,
+        wait: 2_000 * MS,
+        first: 15_000 * MS,
+        idle: 10_000 * MS,
+        max_body: 1 << 20,
+        prompt: vec!["prompt".into()],
+        prefix: 256,
+        repeat: false,
+        resume: false,
+        on_revoke: OnRevoke::Finish,
+    };
+    let base = shared(&d, base, &mut out);
+    let q = quota(&d, &mut out).unwrap_or(Quota { calls: 100, window: 1_000 * MS });
+    let w = d.num("weight", 1, 1000, &mut out).unwrap_or(1);
+
+    let mut p = Plan::default();
+    for (n, r) in r.sub("pools", &mut out).each(&mut out) {
+        p.pools.insert(n.clone(), pool(n, &r, &mut out));
+    }
+    let mut known = SHARED.to_vec();
+    known.extend(["method", "path", "pool"]);
+    for (n, r) in r.sub("matches", &mut out).each(&mut out) {
+        r.only(&known, &mut out);
+        let mut m = shared(&r, base.clone(), &mut out);
+        m.name = n;
+        if let Some(s) = r.text("method", &mut out) {
+            if ["GET", "POST", "PUT", "DELETE", "PATCH"].contains(&s) {
+                m.method = s.into();
+            } else if let Some(v) = r.raw("method") {
+                out.push(wrong(&r.path("method"), v, "GET, POST, PUT, PATCH or DELETE"));
+            }
+        }
+        match r.text("path", &mut out) {
+            Some(s) if s.starts_with('/') && !s.contains(['?', '#', ' ']) => m.path = s.into(),
+            Some(_) => {
+                if let Some(v) = r.raw("path") {
+                    out.push(wrong(&r.path("path"), v, "a path that begins with / and has no ?, # or space"));
+                }
+            }
+            None if r.there() && r.raw("path").is_none() => {
+                out.push(Trouble::Missing { at: r.path("path"), want: "the path that callers use".into() });
+            }
+            None => {}
+        }
+        match r.text("pool", &mut out) {
+            Some(s) if p.pools.contains_key(s) => m.pool = s.into(),
+            Some(s) => {
+                out.push(Trouble::Dangling { at: r.path("pool"), name: s.into(), sort: "/pools".into() });
+            }
+            None if r.there() && r.raw("pool").is_none() => {
+                out.push(Trouble::Missing { at: r.path("pool"), want: "the name of a pool".into() });
+            }
+            None => {}
+        }
+        let k = (m.method.clone(), m.path.clone());
+        if let Some(o) = p.matches.get(&k) {
+            out.push(Trouble::Taken { at: r.path("path"), by: format!("/matches/{}", o.name) });
+        }
+        p.matches.insert(k, Arc::new(m));
+    }
+    for (n, r) in r.sub("tenants", &mut out).each(&mut out) {
+        tenant(&n, &r, q, w, &mut p, &mut out);
+    }
+    if out.is_empty() { Ok(p) } else { Err(out) }
+}
+
+fn shared(r: &Read, mut m: Match, out: &mut Vec<Trouble>) -> Match {
+    let mut ms = |k: &str, o: &mut u64| {
+        if let Some(n) = r.num(k, 1, 3_600_000, out) {
+            *o = n * MS;
+        }
+    };
+    ms("wait_ms", &mut m.wait);
+    ms("first_ms", &mut m.first);
+    ms("idle_ms", &mut m.idle);
+    if let Some(n) = r.num("max_body", 1, 64 << 20, out) {
+        m.max_body = usize::try_from(n).unwrap_or(1 << 20);
+    }
+    if let Some(n) = r.num("prefix_chars", 1, 1 << 20, out) {
+        m.prefix = usize::try_from(n).unwrap_or(256);
+    }
+    m.repeat = r.flag("repeat", out).unwrap_or(m.repeat);
+    m.resume = r.flag("resume", out).unwrap_or(m.resume);
+    if let Some(s) = r.text("prompt", out) {
+        match s.strip_prefix('/') {
+            Some(t) => {
+                m.prompt = t.split('/').map(|x| x.replace("~1", "/").replace("~0", "~")).collect();
+            }
+            None => {
+                if let Some(v) = r.raw("prompt") {
+                    out.push(wrong(&r.path("prompt"), v, "a JSON pointer such as /prompt"));
+                }
+            }
+        }
+    }
+    if let Some(x) = on_revoke(r, out) {
+        m.on_revoke = x;
+    }
+    if let Some(s) = r.text("kind", out) {
+        match Kind::parse(s) {
+            Some(k) => m.kind = k,
+            None => {
+                if let Some(v) = r.raw("kind") {
+                    out.push(wrong(&r.path("kind"), v, "lookup, chat, draft or summary"));
+                }
+            }
+        }
+    }
+    m
+}
+
+fn on_revoke(r: &Read, out: &mut Vec<Trouble>) -> Option<OnRevoke> {
+    match r.text("on_revoke", out)? {
+        "finish" => Some(OnRevoke::Finish),
+        "cut" => Some(OnRevoke::Cut),
+        _ => {
+            if let Some(v) = r.raw("on_revoke") {
+                out.push(wrong(&r.path("on_revoke"), v, "finish or cut"));
+            }
+            None
+        }
+    }
+}
+
+fn quota(r: &Read, out: &mut Vec<Trouble>) -> Option<Quota> {
+    r.raw("quota")?;
+    let q = r.sub("quota", out);
+    q.only(&["calls", "window_ms"], out);
+    for k in ["calls", "window_ms"] {
+        if q.there() && q.raw(k).is_none() {
+            out.push(Trouble::Missing { at: q.path(k), want: "a whole number".into() });
+        }
+    }
+    let c = q.num("calls", 1, 1_000_000_000, out);
+    let w = q.num("window_ms", 100, 86_400_000, out);
+    Some(Quota { calls: c?, window: w? * MS })
+}
+
+fn pool(n: String, r: &Read, out: &mut Vec<Trouble>) -> Pool {
+    r.only(&["workers"], out);
+    let any = r.raw("workers").is_none_or(|v| v.as_str() == Some("any"));
+    if any {
+        return Pool { name: n, workers: None };
+    }
+    let ws = r.texts("workers", out).unwrap_or_default();
+    if ws.is_empty()
+        && let Some(v) = r.raw("workers")
+        && v.is_array()
+    {
+        out.push(wrong(&r.path("workers"), v, "\"any\" or a list with at least one address"));
+    }
+    for (i, w) in ws.iter().enumerate() {
+        if w.parse::<SocketAddr>().is_err() {
+            out.push(Trouble::Wrong {
+                at: format!("{}/{i}", r.path("workers")),
+                is: (*w).into(),
+                want: "an IP address and port".into(),
+            });
+        } else if ws[..i].contains(w) {
+            out.push(Trouble::Taken { at: format!("{}/{i}", r.path("workers")), by: (*w).into() });
+        }
+    }
+    Pool { name: n, workers: Some(ws.into_iter().map(str::to_owned).collect()) }
+}
+
+fn tenant(n: &str, r: &Read, q: Quota, w: u64, p: &mut Plan, out: &mut Vec<Trouble>) {
+    r.only(&["keys", "quota", "weight", "matches", "on_revoke"], out);
+    let quota = quota(r, out).unwrap_or(q);
+    let weight = r.num("weight", 1, 1000, out).unwrap_or(w);
+    if r.there() && r.raw("keys").is_none() {
+        out.push(Trouble::Missing { at: r.path("keys"), want: "a list of key hashes, which may be empty".into() });
+    }
+    for (i, k) in r.texts("keys", out).unwrap_or_default().into_iter().enumerate() {
+        let at = format!("{}/{i}", r.path("keys"));
+        let hex = k
+            .strip_prefix("sha256:")
+            .filter(|h| h.len() == 64 && h.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b)));
+        let Some(h) = hex else {
+            out.push(Trouble::Wrong {
+                at,
+                is: "something else (not shown, it may be a key)".into(),
+                want: "sha256: and the 64 small hex digits of the key's hash".into(),
+            });
+            continue;
+        };
+        if let Some(o) = p.keys.insert(h.to_owned(), n.to_owned()) {
+            out.push(Trouble::Taken { at, by: format!("/tenants/{o}") });
+        }
+    }
+    let any = r.raw("matches").is_none_or(|v| v.as_str() == Some("all"));
+    let ms = if any { None } else { r.texts("matches", out) };
+    for (i, m) in ms.iter().flatten().enumerate() {
+        if !p.matches.values().any(|x| x.name == *m) {
+            out.push(Trouble::Dangling {
+                at: format!("{}/{i}", r.path("matches")),
+                name: (*m).into(),
+                sort: "/matches".into(),
+            });
+        }
+    }
+    let t = Tenant {
+        name: n.to_owned(),
+        quota,
+        weight,
+        on_revoke: on_revoke(r, out),
+        matches: ms.map(|v| v.into_iter().map(str::to_owned).collect()),
+    };
+    p.tenants.insert(n.to_owned(), Arc::new(t));
+}
--- /dev/null
+++ b/crates/seating/src/config/check/read.rs
@@ -0,0 +1,119 @@
+use super::Trouble;
+use super::shape::esc;
+use sonic_rs::{JsonContainerTrait, JsonType, JsonValueTrait, Object, Value};
+
+/// Reads one object by pointers and notes every trouble that it meets.
+pub struct Read<'a> {
+    pub at: String,
+    v: Option<&'a Value>,
+}
+
+impl<'a> Read<'a> {
+    pub fn root(v: &'a Value, out: &mut Vec<Trouble>) -> Self {
+        Read { at: String::new(), v: Some(v) }.typed(out)
+    }
+
+    fn typed(mut self, out: &mut Vec<Trouble>) -> Self {
+        if let Some(v) = self.v
+            && !v.is_object()
+        {
+            out.push(wrong(&self.at, v, "an object"));
+            self.v = None;
+        }
+        self
+    }
+
+    pub fn there(&self) -> bool {
+        self.v.is_some()
+    }
+
+    pub fn raw(&self, k: &str) -> Option<&'a Value> {
+        self.v?.pointer([k])
+    }
+
+    pub fn path(&self, k: &str) -> String {
+        format!("{}/{}", self.at, esc(k))
+    }
+
+    pub fn sub(&self, k: &str, out: &mut Vec<Trouble>) -> Read<'a> {
+        Read { at: self.path(k), v: self.raw(k) }.typed(out)
+    }
+
+    pub fn each(&self, out: &mut Vec<Trouble>) -> Vec<(String, Read<'a>)> {
+        let Some(o) = self.v.and_then(|v| v.as_object()) else { return Vec::new() };
+        names(o).into_iter().map(|k| (k.clone(), self.sub(&k, out))).collect()
+    }
+
+    pub fn only(&self, known: &[&str], out: &mut Vec<Trouble>) {
+        let Some(o) = self.v.and_then(|v| v.as_object()) else { return };
+        for k in names(o) {
+            if !known.contains(&k.as_str()) {
+                out.push(Trouble::Unknown { at: self.path(&k), known: known.join(", ") });
+            }
+        }
+    }
+
+    pub fn num(&self, k: &str, lo: u64, hi: u64, out: &mut Vec<Trouble>) -> Option<u64> {
+        let v = self.raw(k)?;
+        match v.as_u64() {
+            Some(n) if (lo..=hi).contains(&n) => Some(n),
+            _ => {
+                out.push(wrong(&self.path(k), v, &format!("a whole number from {lo} to {hi}")));
+                None
+            }
+        }
+    }
+
+    pub fn flag(&self, k: &str, out: &mut Vec<Trouble>) -> Option<bool> {
+        let v = self.raw(k)?;
+        if v.as_bool().is_none() {
+            out.push(wrong(&self.path(k), v, "true or false"));
+        }
+        v.as_bool()
+    }
+
+    pub fn text(&self, k: &str, out: &mut Vec<Trouble>) -> Option<&'a str> {
+        let v = self.raw(k)?;
+        let s = v.as_str().filter(|s| !s.is_empty() && s.len() <= 512);
+        if s.is_none() {
+            out.push(wrong(&self.path(k), v, "a text of 1 to 512 bytes"));
+        }
+        s
+    }
+
+    pub fn texts(&self, k: &str, out: &mut Vec<Trouble>) -> Option<Vec<&'a str>> {
+        let v = self.raw(k)?;
+        let Some(a) = v.as_array() else {
+            out.push(wrong(&self.path(k), v, "a list of texts"));
+            return None;
+        };
+        let mut o = Vec::with_capacity(a.len());
+        for (i, x) in a.iter().enumerate() {
+            match x.as_str().filter(|s| !s.is_empty() && s.len() <= 512) {
+                Some(s) => o.push(s),
+                None => out.push(wrong(&format!("{}/{i}", self.path(k)), x, "a text of 1 to 512 bytes")),
+            }
+        }
+        Some(o)
+    }
+}
+
+fn names(o: &Object) -> Vec<String> {
+    o.iter().map(|(k, _)| k.to_owned()).collect()
+}
+
+pub fn wrong(at: &str, v: &Value, want: &str) -> Trouble {
+    let is = match v.get_type() {
+        JsonType::Null => "null".to_owned(),
+        JsonType::Object => "an object".to_owned(),
+        JsonType::Array => "a list".to_owned(),
+        _ => {
+            let mut s = v.to_string();
+            if s.len() > 40 {
+                s = s.chars().take(40).collect::<String>() + "…";
+            }
+            s
+        }
+    };
+    Trouble::Wrong { at: at.to_owned(), is, want: want.to_owned() }
+}
--- /dev/null
+++ b/crates/seating/src/config/mod.rs
@@ -0,0 +1,5 @@
+pub mod check;
+pub mod tree;
+
+pub use check::{Trouble, judge};
+pub use tree::{Kind, Match, OnRevoke, Plan, Pool, Quota, Tenant, effective};
--- /dev/null
+++ b/crates/seating/src/config/tree/plan.rs
@@ -0,0 +1,105 @@
+use crate::base::{Us, Ver};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The four kinds of traffic.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    Lookup,
+    Chat,
+    Draft,
+    Summary,
+}
+
+impl Kind {
+    pub const ALL: [Kind; 4] = [Kind::Lookup, Kind::Chat, Kind::Draft, Kind::Summary];
+
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Lookup => "lookup",
+            Kind::Chat => "chat",
+            Kind::Draft => "draft",
+            Kind::Summary => "summary",
+        }
+    }
+
+    pub fn parse(s: &str) -> Option<Kind> {
+        Kind::ALL.into_iter().find(|k| k.name() == s)
+    }
+
+    /// The share of a place that this kind is owed against the others.
+    pub fn weight(self) -> u64 {
+        match self {
+            Kind::Lookup => 8,
+            Kind::Chat => 4,
+            Kind::Draft => 2,
+            Kind::Summary => 1,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OnRevoke {
+    Finish,
+    Cut,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Quota {
+    pub calls: u64,
+    pub window: Us,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pool {
+    pub name: String,
+    /// The addresses that may serve; none named means any that announces itself.
+    pub workers: Option<Vec<String>>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Match {
+    pub name: String,
+    pub method: String,
+    pub path: String,
+    pub pool: String,
+    pub kind: Kind,
+    pub wait: Us,
+    pub first: Us,
+    pub idle: Us,
+    pub max_body: usize,
+    pub prompt: Vec<String>,
+    pub prefix: usize,
+    pub repeat: bool,
+    pub resume: bool,
+    pub on_revoke: OnRevoke,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Tenant {
+    pub name: String,
+    pub quota: Quota,
+    pub weight: u64,
+    pub on_revoke: Option<OnRevoke>,
+    pub matches: Option<Vec<String>>,
+}
+
+/// One version of the configuration, compiled for lookups and never changed.
+#[derive(Clone, Debug, Default)]
+pub struct Plan {
+    pub ver: Ver,
+    pub pools: BTreeMap<String, Pool>,
+    pub matches: BTreeMap<(String, String), Arc<Match>>,
+    pub tenants: BTreeMap<String, Arc<Tenant>>,
+    pub keys: BTreeMap<String, String>,
+}
+
+impl Plan {
+    pub fn find(&self, method: &str, path: &str) -> Option<&Arc<Match>> {
+        self.matches.get(&(method.to_owned(), path.to_owned()))
+    }
+
+    pub fn key(&self, hash: &str) -> Option<&Arc<Tenant>> {
+        self.tenants.get(self.keys.get(hash)?)
+    }
+}
--- /dev/null
+++ b/crates/seating/src/news/mod.rs
@@ -0,0 +1,3 @@
+mod table;
+
+pub use table::{Apply, Entry, News, SILENT, Sub, Up};
--- /dev/null
+++ b/crates/seating/src/node/confirm.rs
@@ -0,0 +1,57 @@
+use super::Node;
+use crate::agree::majority;
+use crate::base::{Nid, SEC, Us, Ver};
+use crate::fresh;
+use crate::peer::Msg;
+use std::collections::BTreeSet;
+
+impl Node {
+    /// A voter asks all voters whether anything newer was voted for.
+    pub(super) fn tick_confirm(&mut self, now: Us) {
+        if !self.voter() || now < self.fresh.due {
+            return;
+        }
+        let Some(ver) = self.ver() else { return };
+        self.fresh.due = now + fresh::EVERY;
+        self.fresh.seq += 1;
+        let seq = self.fresh.seq;
+        self.fresh.round.retain(|_, r| now.saturating_sub(r.0) < 2 * SEC);
+        self.fresh.round.insert(seq, (now, ver, BTreeSet::new()));
+        self.cast(&Msg::Confirm { seq, ver }, now);
+    }
+
+    pub(super) fn on_confirm(&mut self, by: Nid, seq: u64, ver: Ver, now: Us) {
+        let Some(v) = self.ver() else { return };
+        if !self.me.core {
+            return;
+        }
+        if v > ver {
+            self.teach(by, ver, now);
+        }
+        let have = self.have.unwrap_or(0);
+        let pend = self.agree.acc.is_some();
+        self.send(by, Msg::Confirmed { seq, ver: v, have, pend }, now);
+    }
+
+    pub(super) fn on_confirmed(&mut self, by: Nid, seq: u64, ver: Ver, have: Ver, pend: bool, now: Us) {
+        let e = self.agree.have.entry(by).or_insert(have);
+        *e = (*e).max(have);
+        let Some(v) = self.ver() else { return };
+        if ver < v && by != self.me.nid {
+            self.teach(by, ver, now);
+        }
+        let cores = self.agree.cores().to_vec();
+        let Some((at, of, got)) = self.fresh.round.get_mut(&seq) else { return };
+        if *of != v || ver != v || pend {
+            return;
+        }
+        got.insert(by);
+        if majority(&cores, got) {
+            let at = *at;
+            self.fresh.round.remove(&seq);
+            self.fresh.credit(v, at);
+            self.counts.confirms += 1;
+            self.show = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/seating/src/node/counts.rs
@@ -0,0 +1,56 @@
+macro_rules! counts {
+    ($($(#[doc = $d:literal])* $n:ident,)*) => {
+        /// Counters of the control plane; they only grow.
+        #[derive(Clone, Debug, Default)]
+        pub struct Counts { $($(#[doc = $d])* pub $n: u64,)* }
+
+        impl Counts {
+            pub fn list(&self) -> Vec<(&'static str, u64, &'static str)> {
+                vec![$((stringify!($n), self.$n, concat!($($d),*)),)*]
+            }
+        }
+    };
+}
+
+counts! {
+    /// Frames taken from other nodes.
+    frames_in,
+    /// Frames sent to other nodes.
+    frames_out,
+    /// Frames of another fleet that were dropped.
+    frames_foreign,
+    /// Ballots begun here.
+    ballots,
+    /// Ballots that met a higher one.
+    ballots_outbid,
+    /// Versions learned.
+    versions,
+    /// Digests (whole states) taken.
+    digests,
+    /// Freshness rounds that a majority confirmed.
+    confirms,
+    /// Reports of workers applied.
+    reports,
+    /// Reports that were older than what was known.
+    reports_old,
+    /// Reports from an ended life of a worker.
+    reports_ended,
+    /// Reports that claimed to be from the future.
+    reports_future,
+    /// Terms won.
+    terms_won,
+    /// Terms refused by another core.
+    terms_refused,
+    /// Messages of a holder that a newer term fences off.
+    fenced,
+    /// Slices given as a holder.
+    slices_given,
+    /// Asks answered with a spent window.
+    slices_spent,
+    /// Recalls sent for idle slices.
+    recalls,
+    /// Calls of operators ferried to a core.
+    ferried,
+    /// Founding pledges that did not agree.
+    founding_split,
+}
--- /dev/null
+++ b/crates/seating/src/node/found.rs
@@ -0,0 +1,75 @@
+use super::Node;
+use crate::agree::Op;
+use crate::base::{Cid, MS, Nid, SEC, Us, Ver, hash64};
+use crate::peer::{Core, Decree, Msg};
+
+const EVERY: Us = 300 * MS;
+
+/// What a seed said while there was no version yet.
+#[derive(Clone, Debug)]
+pub(super) struct Heard {
+    core: Core,
+    pledge: Vec<Core>,
+    at: Us,
+}
+
+impl Node {
+    /// A fleet is founded once: when all seeds are cores without a version,
+    /// each pledges to the same set on disk, and all heard all pledges.
+    pub(super) fn tick_found(&mut self, now: Us) {
+        if !self.me.core || self.ver().is_some() || now < self.due_found {
+            return;
+        }
+        self.due_found = now + EVERY;
+        let msg = Msg::Found { me: self.here(), ver: None, pledge: self.pledged() };
+        for s in self.me.seeds.clone() {
+            self.send_addr(&s, msg.clone(), now);
+        }
+    }
+
+    fn pledged(&self) -> Vec<Core> {
+        if self.held.is_empty() { self.agree.pledge.clone() } else { Vec::new() }
+    }
+
+    pub(super) fn on_found(&mut self, by: Nid, core: Core, ver: Option<Ver>, pledge: Vec<Core>, now: Us) {
+        if self.ver().is_some() {
+            if by != self.me.nid && ver.is_none() {
+                let decs = self.agree.last().cloned().into_iter().collect();
+                self.send_addr(&core.addr.clone(), Msg::Learn { decs }, now);
+            }
+            return;
+        }
+        if !self.me.core || core.nid != by || !self.me.seeds.contains(&core.addr) {
+            return;
+        }
+        self.found.insert(core.addr.clone(), Heard { core, pledge, at: now });
+        self.found.retain(|_, h| now.saturating_sub(h.at) < 2 * SEC);
+        if !self.me.seeds.contains(&self.me.addr) || self.found.len() < self.me.seeds.len() {
+            return;
+        }
+        let mut set: Vec<_> = self.found.values().map(|h| h.core.clone()).collect();
+        set.sort();
+        if self.agree.pledge.is_empty() {
+            self.agree.pledge.clone_from(&set);
+            self.write(vec![Op::Pledge(set)], Vec::new());
+            return;
+        }
+        if self.agree.pledge != set {
+            self.counts.founding_split += 1;
+            return;
+        }
+        if self.found.values().all(|h| h.pledge == set) {
+            let text: String = set.iter().map(|c| format!("{}@{};", c.nid, c.addr)).collect();
+            let d = Decree {
+                ver: 0,
+                cid: Cid(0),
+                fleet: hash64(text.as_bytes()).max(1),
+                since: 0,
+                old: Vec::new(),
+                cores: set,
+                body: "{}".into(),
+            };
+            self.learned(d, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/seating/src/node/grants.rs
@@ -0,0 +1,269 @@
+use super::{Effect, Node};
+use crate::agree::{Op, majority};
+use crate::base::{MS, Nid, SEC, Us, Ver};
+use crate::config::Quota;
+use crate::peer::{Grant, Msg};
+use crate::quota::{Ask, Turn};
+use crate::term::duty;
+use std::collections::BTreeSet;
+
+const AGAIN: Us = 250 * MS;
+
+/// An ask of this node that its tenant's holder has not answered.
+#[derive(Clone, Debug)]
+pub(super) struct Asked {
+    n: u64,
+    at: Us,
+    waiting: u64,
+    hops: u8,
+    idle: bool,
+}
+
+/// Slices that go out once a majority has them on disk.
+#[derive(Clone, Debug)]
+pub(super) struct Owed {
+    duty: u32,
+    epoch: u64,
+    at: Us,
+    got: BTreeSet<Nid>,
+    gives: Vec<(u64, Grant, Us)>,
+}
+
+impl Node {
+    fn quota(&self, t: &str) -> Option<Quota> {
+        self.plan.tenants.get(t).map(|t| t.quota)
+    }
+
+    /// Calls of a tenant wait here, or its slice runs low.
+    pub(super) fn need(&mut self, t: &str, waiting: u64, now: Us) {
+        if self.quota(t).is_none() {
+            return;
+        }
+        let open = self.asks.get(t).is_some_and(|a| !a.idle && now.saturating_sub(a.at) < AGAIN);
+        if open {
+            if let Some(a) = self.asks.get_mut(t) {
+                a.waiting = a.waiting.max(waiting);
+            }
+            return;
+        }
+        self.ask_slice(t, waiting, 0, None, now);
+    }
+
+    fn ask_slice(&mut self, t: &str, waiting: u64, hops: u8, to: Option<Nid>, now: Us) {
+        let d = duty(t);
+        let hint = self.terms.hint.get(&d).copied().filter(|h| self.ring.alive(*h, now) && self.agree.votes(*h));
+        let Some(to) = to.or(hint).or_else(|| self.nominee(d, now)) else { return };
+        let n = self.next();
+        let (want, win, ret) = self.slices.want(t, waiting, now);
+        self.asks.insert(t.to_owned(), Asked { n, at: now, waiting: 0, hops, idle: false });
+        self.send(to, Msg::SliceAsk { n, tenant: t.to_owned(), want, win, ret }, now);
+    }
+
+    pub(super) fn on_slice_ask(&mut self, by: Nid, n: u64, t: &str, want: u64, ret: (u64, u64), now: Us) {
+        let d = duty(t);
+        if self.terms.holds(d, now).is_none() {
+            let holder = self.terms.hint.get(&d).copied().filter(|h| *h != self.me.nid).unwrap_or_default();
+            self.send(by, Msg::NotHolder { n, tenant: t.to_owned(), holder }, now);
+            return;
+        }
+        let Some(q) = self.quota(t) else { return };
+        let nodes = self.ring.live(now).count() as u64;
+        let ask = Ask { nid: by, n, want, at: now };
+        let v = self.ledger.ask(t, q, ask, ret, nodes, now);
+        self.turns(t, v, now);
+    }
+
+    pub(super) fn on_return(&mut self, by: Nid, t: &str, win: u64, ret: u64, now: Us) {
+        let Some(q) = self.quota(t) else { return };
+        if self.terms.holds(duty(t), now).is_some() {
+            let nodes = self.ring.live(now).count() as u64;
+            let v = self.ledger.give_back(t, q, by, win, ret, nodes, now);
+            self.turns(t, v, now);
+        }
+    }
+
+    pub(super) fn tick_quota(&mut self, now: Us) {
+        self.owed.retain(|_, o| now.saturating_sub(o.at) < 2 * SEC);
+        let nodes = self.ring.live(now).count() as u64;
+        for (t, ..) in self.ledger.list() {
+            match (self.terms.holds(duty(&t), now), self.quota(&t)) {
+                (Some(_), Some(q)) => {
+                    let v = self.ledger.tick(&t, q, nodes, now);
+                    self.turns(&t, v, now);
+                }
+                (_, None) | (None, _) => self.ledger.forget(&t),
+            }
+        }
+    }
+
+    fn turns(&mut self, t: &str, v: Vec<Turn>, now: Us) {
+        let d = duty(t);
+        let Some(epoch) = self.terms.holds(d, now) else { return };
+        let mut gives = Vec::new();
+        for x in v {
+            match x {
+                Turn::Give { n, g, left } => gives.push((n, g, left)),
+                Turn::Recall { to, win } => {
+                    self.counts.recalls += 1;
+                    for n in to {
+                        self.send(n, Msg::Recall { tenant: t.to_owned(), win, epoch }, now);
+                    }
+                }
+                Turn::Spent { nid, n, win, left } => {
+                    self.counts.slices_spent += 1;
+                    self.send(nid, Msg::Spent { n, tenant: t.to_owned(), win, left }, now);
+                }
+            }
+        }
+        if gives.is_empty() {
+            return;
+        }
+        let rows: Vec<_> = gives.iter().map(|g| g.1.clone()).collect();
+        let n = self.next();
+        self.owed.insert(n, Owed { duty: d, epoch, at: now, got: BTreeSet::new(), gives });
+        let set = self.set();
+        self.cast(&Msg::Grants { set, duty: d, epoch, n, rows }, now);
+    }
+
+    /// Takes a grant into the rows that a successor will read; true if it is news.
+    pub(super) fn keep(&mut self, g: &Grant, now: Us) -> bool {
+        let top = self.wins.get(&g.tenant).map_or(0, |w| w.0);
+        if g.win < top {
+            return false;
+        }
+        let from = now.saturating_sub(g.age);
+        if g.win > top {
+            self.rows.retain(|(t, _), _| *t != g.tenant);
+            self.wins.insert(g.tenant.clone(), (g.win, from));
+        } else if let Some(w) = self.wins.get_mut(&g.tenant) {
+            w.1 = w.1.min(from);
+        }
+        let k = (g.tenant.clone(), g.nid);
+        if self.rows.get(&k).is_some_and(|o| o.cum >= g.cum) {
+            return false;
+        }
+        self.rows.insert(k, g.clone());
+        true
+    }
+
+    pub(super) fn rows_of(&self, f: impl Fn(&str) -> bool, now: Us) -> Vec<Grant> {
+        self.rows
+            .values()
+            .filter(|g| f(&g.tenant))
+            .map(|g| {
+                let age = self.wins.get(&g.tenant).map_or(0, |w| now.saturating_sub(w.1));
+                Grant { age, ..g.clone() }
+            })
+            .collect()
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    pub(super) fn on_grants(
+        &mut self,
+        by: Nid,
+        set: Ver,
+        d: u32,
+        epoch: u64,
+        n: u64,
+        mut rows: Vec<Grant>,
+        lag: Us,
+        now: Us,
+    ) {
+        if !self.ready() || set != self.set() {
+            return;
+        }
+        if self.book.fenced(d, epoch) {
+            self.counts.fenced += 1;
+            return;
+        }
+        for g in &mut rows {
+            g.age = g.age.saturating_add(lag);
+        }
+        rows.retain(|g| self.keep(g, now));
+        let then = self.mail(by, Msg::GrantsOk { duty: d, epoch, n }, now);
+        let ops = rows.into_iter().map(Op::Grant).collect();
+        self.write(ops, then.into_iter().collect());
+    }
+
+    pub(super) fn on_grants_ok(&mut self, by: Nid, d: u32, epoch: u64, n: u64, now: Us) {
+        let cores = self.agree.cores().to_vec();
+        let Some(o) = self.owed.get_mut(&n) else { return };
+        if o.duty != d || o.epoch != epoch {
+            return;
+        }
+        o.got.insert(by);
+        if !majority(&cores, &o.got) {
+            return;
+        }
+        let Some(o) = self.owed.remove(&n) else { return };
+        if self.terms.holds(d, now) != Some(epoch) {
+            return;
+        }
+        let late = now.saturating_sub(o.at);
+        for (n, g, left) in o.gives {
+            self.counts.slices_given += 1;
+            let left = left.saturating_sub(late);
+            self.send(g.nid, Msg::Slice { n, tenant: g.tenant, win: g.win, cum: g.cum, left, epoch }, now);
+        }
+    }
+
+    /// A slice counts from the moment that this node asked for it.
+    fn asked(&mut self, n: u64, t: &str) -> Option<(Us, u64)> {
+        let a = self.asks.get_mut(t)?;
+        if a.n != n || a.idle {
+            return None;
+        }
+        a.idle = true;
+        Some((a.at, a.waiting))
+    }
+
+    pub(super) fn on_slice(&mut self, n: u64, t: &str, win: u64, cum: u64, left: Us, epoch: u64) {
+        let d = duty(t);
+        if self.book.fenced(d, epoch) {
+            self.counts.fenced += 1;
+            return;
+        }
+        let Some((at, more)) = self.asked(n, t) else { return };
+        if !self.me.core {
+            self.book.note(d, epoch);
+        }
+        self.slices.add(t, win, cum, at + left);
+        self.out.push(Effect::Wake { tenant: t.to_owned() });
+        if more > 0 {
+            let now = self.last;
+            self.ask_slice(t, more, 0, None, now);
+        }
+    }
+
+    pub(super) fn on_spent(&mut self, n: u64, t: &str, win: u64, left: Us, now: Us) {
+        if self.asked(n, t).is_some() {
+            self.slices.spent(t, win, now + left, now);
+            self.out.push(Effect::Wake { tenant: t.to_owned() });
+        }
+    }
+
+    pub(super) fn on_not_holder(&mut self, by: Nid, n: u64, t: &str, holder: Nid, now: Us) {
+        let Some(a) = self.asks.get(t) else { return };
+        if a.n != n || a.idle {
+            return;
+        }
+        let (hops, waiting) = (a.hops, a.waiting);
+        let d = duty(t);
+        if self.terms.hint.get(&d) == Some(&by) {
+            self.terms.hint.remove(&d);
+        }
+        if holder != Nid::default() && holder != by && self.ring.alive(holder, now) && hops < 3 {
+            self.terms.hint.insert(d, holder);
+            self.ask_slice(t, waiting.max(1), hops + 1, Some(holder), now);
+        }
+    }
+
+    pub(super) fn on_recall(&mut self, by: Nid, t: &str, win: u64, epoch: u64, now: Us) {
+        if self.book.fenced(duty(t), epoch) {
+            self.counts.fenced += 1;
+            return;
+        }
+        let ret = self.slices.give(t, win, now).unwrap_or(0);
+        self.send(by, Msg::Return { tenant: t.to_owned(), win, ret }, now);
+    }
+}
--- /dev/null
+++ b/crates/seating/src/node/hand.rs
@@ -0,0 +1,83 @@
+use super::Node;
+use crate::agree::{Op, majority};
+use crate::base::{MS, Nid, Us, Ver};
+use crate::peer::{Grant, Msg};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Handed {
+    set: Ver,
+    got: BTreeSet<Nid>,
+    rows: BTreeMap<(String, Nid), Grant>,
+    due: Us,
+}
+
+impl Node {
+    pub(super) fn set(&self) -> Ver {
+        self.agree.last().map_or(0, |d| d.since)
+    }
+
+    /// A voter of a changed set grants nothing before it took over, from a
+    /// majority of the set before, every grant that may be in use.
+    pub(super) fn ready(&self) -> bool {
+        self.voter() && self.ready == Some(self.set())
+    }
+
+    pub(super) fn tick_hand(&mut self, now: Us) {
+        if !self.voter() || self.ready() || now < self.handed.due {
+            return;
+        }
+        let Some(d) = self.agree.last() else { return };
+        let set = d.since;
+        let old: Vec<_> = d.old.iter().map(|c| c.nid).collect();
+        if self.handed.set != set {
+            self.handed = Handed { set, ..Handed::default() };
+        }
+        self.handed.due = now + 100 * MS;
+        for n in old {
+            self.send(n, Msg::HandAsk { set }, now);
+        }
+    }
+
+    /// Who hands over has seen the new set, so it helps no holder of the old one.
+    pub(super) fn on_hand_ask(&mut self, by: Nid, set: Ver, now: Us) {
+        let Some(d) = self.agree.last() else { return };
+        let before = self.ready.is_some_and(|r| r == set || (r < set && self.was(r, set)));
+        if d.since != set || !before {
+            return;
+        }
+        let rows = self.rows_of(|_| true, now);
+        self.send(by, Msg::Hand { set, rows }, now);
+    }
+
+    /// Whether `r` was the set that `set` came after.
+    fn was(&self, r: Ver, set: Ver) -> bool {
+        let prev = self.agree.hist.range(..set).next_back().map(|x| x.1.since);
+        prev.is_none_or(|p| p == r)
+    }
+
+    pub(super) fn on_hand(&mut self, by: Nid, set: Ver, rows: Vec<Grant>, now: Us) {
+        if self.ready() || self.handed.set != set || set != self.set() {
+            return;
+        }
+        self.handed.got.insert(by);
+        for g in rows {
+            let k = (g.tenant.clone(), g.nid);
+            match self.handed.rows.get(&k) {
+                Some(o) if (o.win, o.cum) >= (g.win, g.cum) => {}
+                _ => {
+                    self.handed.rows.insert(k, g);
+                }
+            }
+        }
+        let old = self.agree.last().map(|d| d.old.clone()).unwrap_or_default();
+        if !majority(&old, &self.handed.got) {
+            return;
+        }
+        let rs: Vec<_> = std::mem::take(&mut self.handed.rows).into_values().collect();
+        let mut ops: Vec<_> = rs.iter().filter(|g| self.keep(g, now)).cloned().map(Op::Grant).collect::<Vec<_>>();
+        ops.push(Op::Ready(set));
+        self.write(ops, Vec::new());
+        self.ready = Some(set);
+    }
+}
--- /dev/null
+++ b/crates/seating/src/node/io.rs
@@ -0,0 +1,127 @@
+use crate::agree::Op;
+use crate::base::{Cid, Inc, Nid, Us, Ver};
+use crate::node::{Node, View};
+use crate::peer::{Change, Fate, Frame, Msg, Row};
+use std::sync::Arc;
+
+/// What a node is told at its start.
+#[derive(Clone, Debug)]
+pub struct Me {
+    pub nid: Nid,
+    pub inc: Inc,
+    pub addr: String,
+    pub admin: String,
+    pub zone: String,
+    pub seeds: Vec<String>,
+    pub core: bool,
+}
+
+#[derive(Clone, Debug)]
+pub enum Event {
+    Tick,
+    Frame(Box<Frame>),
+    /// All writes up to this one are on disk.
+    Synced(u64),
+    Report(Row),
+    Put {
+        req: u64,
+        cid: Cid,
+        base: Ver,
+        change: Change,
+    },
+    /// Calls of a tenant wait for a unit of its quota.
+    Need {
+        tenant: String,
+        waiting: u64,
+    },
+    /// Tell the others that this node stops.
+    Leave,
+}
+
+#[derive(Clone, Debug)]
+pub enum Effect {
+    Send { to: String, frame: Box<Frame> },
+    Write { tok: u64, ops: Vec<Op> },
+    Answer { req: u64, fate: Fate },
+    Show(Arc<View>),
+    Wake { tenant: String },
+}
+
+/// How far a peer's clock stands from ours at the least, so that delays show.
+#[derive(Clone, Copy, Debug)]
+pub struct Lag {
+    inc: Inc,
+    min: i128,
+    at: Us,
+}
+
+impl Node {
+    pub(super) fn frame(&self, msg: Msg, now: Us) -> Frame {
+        Frame { from: self.me.nid, inc: self.me.inc, fleet: self.fleet(), sent: now, msg }
+    }
+
+    pub(super) fn mail(&self, to: Nid, msg: Msg, now: Us) -> Option<Effect> {
+        let a = if to == self.me.nid {
+            self.me.addr.clone()
+        } else {
+            match self.ring.addr(to) {
+                Some(a) => a.to_owned(),
+                None => self.agree.cores().iter().find(|c| c.nid == to)?.addr.clone(),
+            }
+        };
+        Some(Effect::Send { to: a, frame: Box::new(self.frame(msg, now)) })
+    }
+
+    pub(super) fn send(&mut self, to: Nid, msg: Msg, now: Us) {
+        if let Some(e) = self.mail(to, msg, now) {
+            self.emit(e);
+        }
+    }
+
+    pub(super) fn send_addr(&mut self, to: &str, msg: Msg, now: Us) {
+        let frame = Box::new(self.frame(msg, now));
+        self.emit(Effect::Send { to: to.to_owned(), frame });
+    }
+
+    /// What goes to this node itself never leaves it.
+    pub(super) fn emit(&mut self, e: Effect) {
+        match e {
+            Effect::Send { to, frame } if to == self.me.addr => self.back.push_back(*frame),
+            Effect::Send { .. } => {
+                self.counts.frames_out += 1;
+                self.out.push(e);
+            }
+            e => self.out.push(e),
+        }
+    }
+
+    /// Nothing in `then` is said before `ops` are on disk.
+    pub(super) fn write(&mut self, ops: Vec<Op>, then: Vec<Effect>) {
+        self.tok += 1;
+        self.held.push_back((self.tok, then));
+        self.out.push(Effect::Write { tok: self.tok, ops });
+    }
+
+    pub(super) fn synced(&mut self, tok: u64) {
+        while self.held.front().is_some_and(|h| h.0 <= tok) {
+            if let Some((_, v)) = self.held.pop_front() {
+                for e in v {
+                    self.emit(e);
+                }
+            }
+        }
+    }
+
+    /// How much longer this frame was under way than the quickest from its sender.
+    pub(super) fn lag(&mut self, f: &Frame, now: Us) -> Us {
+        let off = i128::from(now) - i128::from(f.sent);
+        let e = self.lag.entry(f.from).or_insert(Lag { inc: f.inc, min: off, at: now });
+        if e.inc != f.inc {
+            *e = Lag { inc: f.inc, min: off, at: now };
+        }
+        let drift = i128::from(now.saturating_sub(e.at) / 5_000);
+        e.min = (e.min + drift).min(off);
+        e.at = now;
+        Us::try_from(off - e.min).unwrap_or(0)
+    }
+}
--- /dev/null
+++ b/crates/seating/src/node/mod.rs
@@ -0,0 +1,147 @@
+//! One node: all of its machines over one state, stepped by events.
+
+mod accept;
+mod confirm;
+mod counts;
+mod ferry;
+mod found;
+mod gossip;
+mod grants;
+mod hand;
+mod io;
+mod learn;
+mod propose;
+mod reports;
+mod step;
+mod tell;
+mod terms;
+mod view;
+
+pub use counts::Counts;
+pub use io::{Effect, Event, Me};
+pub use view::{Held, View};
+
+use crate::agree::{Agree, Kept};
+use crate::base::{Nid, Rng, Us, Ver};
+use crate::config::Plan;
+use crate::fresh::Fresh;
+use crate::news::News;
+use crate::peer::{Core, Frame, Grant};
+use crate::quota::{Ledger, Slices};
+use crate::ring::Ring;
+use crate::term::{Book, TERM, Terms};
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+/// All that a node knows, passed down by reference.
+pub struct Node {
+    pub me: Me,
+    pub rng: Rng,
+    pub agree: Agree,
+    pub fresh: Fresh,
+    pub ring: Ring,
+    pub news: News,
+    pub book: Book,
+    pub terms: Terms,
+    pub ledger: Ledger,
+    pub slices: Arc<Slices>,
+    pub plan: Arc<Plan>,
+    pub counts: Counts,
+    pub leaving: bool,
+    beat: u64,
+    /// The newest version that is synced here.
+    have: Option<Ver>,
+    rows: BTreeMap<(String, Nid), Grant>,
+    /// When this node learned of the window that its rows tell of.
+    wins: BTreeMap<String, (u64, Us)>,
+    ready: Option<Ver>,
+    handed: hand::Handed,
+    found: BTreeMap<String, found::Heard>,
+    due_found: Us,
+    asks: BTreeMap<String, grants::Asked>,
+    owed: BTreeMap<u64, grants::Owed>,
+    ferries: BTreeMap<u64, ferry::Ferry>,
+    lag: BTreeMap<Nid, io::Lag>,
+    n: u64,
+    tok: u64,
+    held: VecDeque<(u64, Vec<Effect>)>,
+    back: VecDeque<Frame>,
+    out: Vec<Effect>,
+    show: bool,
+    shown: view::Mark,
+    last: Us,
+}
+
+impl Node {
+    pub fn new(me: Me, kept: &Kept, seed: u64, now: Us) -> Self {
+        let agree = Agree::new(kept);
+        let plan = agree.last().map(|d| Plan::compile(d.ver, &d.body)).unwrap_or_default();
+        let have = agree.ver();
+        let ready = kept.ready;
+        let mut wins = BTreeMap::new();
+        for g in kept.grants.values() {
+            wins.insert(g.tenant.clone(), (g.win, now));
+        }
+        Node {
+            rng: Rng::new(seed),
+            agree,
+            fresh: Fresh::default(),
+            ring: Ring::default(),
+            news: News::default(),
+            book: Book { quiet: now + TERM, rows: BTreeMap::new(), epochs: kept.epochs.clone() },
+            terms: Terms::default(),
+            ledger: Ledger::default(),
+            slices: Arc::default(),
+            plan: Arc::new(plan),
+            counts: Counts::default(),
+            leaving: false,
+            beat: 0,
+            have,
+            rows: kept.grants.clone(),
+            wins,
+            ready,
+            handed: hand::Handed::default(),
+            found: BTreeMap::new(),
+            due_found: 0,
+            asks: BTreeMap::new(),
+            owed: BTreeMap::new(),
+            ferries: BTreeMap::new(),
+            lag: BTreeMap::new(),
+            n: 0,
+            tok: 0,
+            held: VecDeque::new(),
+            back: VecDeque::new(),
+            out: Vec::new(),
+            show: true,
+            shown: view::Mark::default(),
+            last: now,
+            me,
+        }
+    }
+
+    pub fn ver(&self) -> Option<Ver> {
+        self.agree.ver()
+    }
+
+    pub fn is_fresh(&self, now: Us) -> bool {
+        self.fresh.ok(self.ver(), now)
+    }
+
+    /// A core whose vote counts in the version that it holds.
+    pub fn voter(&self) -> bool {
+        self.me.core && self.agree.votes(self.me.nid)
+    }
+
+    fn here(&self) -> Core {
+        Core { nid: self.me.nid, addr: self.me.addr.clone() }
+    }
+
+    fn fleet(&self) -> u64 {
+        self.agree.last().map_or(0, |d| d.fleet)
+    }
+
+    fn next(&mut self) -> u64 {
+        self.n += 1;
+        self.n
+    }
+}
--- /dev/null
+++ b/crates/seating/src/node/step.rs
@@ -0,0 +1,93 @@
+use super::{Effect, Event, Node};
+use crate::base::{SEC, Us};
+use crate::peer::{Frame, Msg};
+
+impl Node {
+    /// The one way in: an event and the time it came at give the effects.
+    pub fn step(&mut self, e: Event, now: Us) -> Vec<Effect> {
+        let now = now.max(self.last);
+        self.last = now;
+        match e {
+            Event::Tick => self.tick(now),
+            Event::Frame(f) => self.take_frame(*f, now),
+            Event::Synced(t) => self.synced(t),
+            Event::Report(r) => self.report(&r, now),
+            Event::Put { req, cid, base, change } => self.put(req, cid, base, change, now),
+            Event::Need { tenant, waiting } => self.need(&tenant, waiting, now),
+            Event::Leave => self.leave(now),
+        }
+        while let Some(f) = self.back.pop_front() {
+            self.on(f, now);
+        }
+        self.drive(now);
+        while let Some(f) = self.back.pop_front() {
+            self.on(f, now);
+        }
+        self.view(now);
+        std::mem::take(&mut self.out)
+    }
+
+    fn tick(&mut self, now: Us) {
+        self.tick_gossip(now);
+        self.tick_found(now);
+        self.tick_confirm(now);
+        self.tick_ask(now);
+        self.tick_push(now);
+        self.tick_hand(now);
+        self.tick_terms(now);
+        self.tick_quota(now);
+        self.tick_ferry(now);
+        if now / SEC != self.shown.at / SEC {
+            self.ring.sweep(now);
+            self.news.sweep(now);
+        }
+    }
+
+    fn take_frame(&mut self, f: Frame, now: Us) {
+        self.counts.frames_in += 1;
+        let mine = self.fleet();
+        if f.from == self.me.nid || (f.fleet != 0 && mine != 0 && f.fleet != mine) {
+            self.counts.frames_foreign += 1;
+            return;
+        }
+        self.on(f, now);
+    }
+
+    fn on(&mut self, f: Frame, now: Us) {
+        let by = f.from;
+        let lag = if by == self.me.nid { 0 } else { self.lag(&f, now) };
+        match f.msg {
+            Msg::Gossip { rows, reply } => self.on_gossip(by, &rows, reply, now),
+            Msg::Found { me, ver, pledge } => self.on_found(by, me, ver, pledge, now),
+            Msg::Prepare { inst, bal } => self.on_prepare(by, inst, bal, now),
+            Msg::Promise { inst, bal, acc } => self.on_promise(by, inst, bal, acc, now),
+            Msg::Refuse { inst, bal } => self.on_refuse(inst, bal, now),
+            Msg::Accept { bal, dec } => self.on_accept(by, bal, dec, now),
+            Msg::Accepted { inst, bal } => self.on_accepted(by, inst, bal, now),
+            Msg::Learn { decs } => self.on_learn(decs, now),
+            Msg::Have { ver } => self.on_have(by, ver, now),
+            Msg::Confirm { seq, ver } => self.on_confirm(by, seq, ver, now),
+            Msg::Confirmed { seq, ver, have, pend } => self.on_confirmed(by, seq, ver, have, pend, now),
+            Msg::Ask { seq, ver, idx, of, svcs } => self.on_ask(by, seq, ver, idx, of, svcs, now),
+            Msg::Tell { ask, since, stamp, ver, dec, idx, rows } => {
+                self.on_tell((by, f.inc), (ask, since, stamp), ver, dec, idx, &rows, now);
+            }
+            Msg::Reports { rows } => self.on_reports(&rows, lag, now),
+            Msg::TermAsk { set, duty, epoch, n } => self.on_term_ask(by, set, duty, epoch, n, now),
+            Msg::TermYes { duty, epoch, n, rows } => self.on_term_yes(by, duty, epoch, n, rows, now),
+            Msg::TermNo { duty, epoch, n, holder, left } => self.on_term_no(duty, epoch, n, holder, left, now),
+            Msg::Grants { set, duty, epoch, n, rows } => self.on_grants(by, set, duty, epoch, n, rows, lag, now),
+            Msg::GrantsOk { duty, epoch, n } => self.on_grants_ok(by, duty, epoch, n, now),
+            Msg::HandAsk { set } => self.on_hand_ask(by, set, now),
+            Msg::Hand { set, rows } => self.on_hand(by, set, rows, now),
+            Msg::SliceAsk { n, tenant, want, win, ret } => self.on_slice_ask(by, n, &tenant, want, (win, ret), now),
+            Msg::Slice { n, tenant, win, cum, left, epoch } => self.on_slice(n, &tenant, win, cum, left, epoch),
+            Msg::Spent { n, tenant, win, left } => self.on_spent(n, &tenant, win, left, now),
+            Msg::NotHolder { n, tenant, holder } => self.on_not_holder(by, n, &tenant, holder, now),
+            Msg::Recall { tenant, win, epoch } => self.on_recall(by, &tenant, win, epoch, now),
+            Msg::Return { tenant, win, ret } => self.on_return(by, &tenant, win, ret, now),
+            Msg::Ferry { n, cid, base, change } => self.on_ferry(by, n, cid, base, change, now),
+            Msg::Ferried { n, fate } => self.on_ferried(by, n, fate),
+        }
+    }
+}
--- /dev/null
+++ b/crates/seating/src/node/view.rs
@@ -0,0 +1,67 @@
+use super::{Effect, Node};
+use crate::base::{MS, Nid, Us, Ver};
+use crate::config::Plan;
+use crate::peer::{Decree, Peer, Row};
+use crate::term::DUTIES;
+use std::sync::Arc;
+
+/// What the data plane and operators see: one immutable picture, swapped whole.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    pub ver: Option<Ver>,
+    pub fresh: Option<Us>,
+    pub plan: Arc<Plan>,
+    pub dec: Option<Arc<Decree>>,
+    pub workers: Arc<Vec<Row>>,
+    pub nodes: Vec<(Peer, bool)>,
+    pub voter: bool,
+    pub terms: Vec<(u32, u64)>,
+    pub grants: Vec<(String, u64, u64, u64)>,
+    pub ups: Vec<Nid>,
+    pub counts: Vec<(&'static str, u64, &'static str)>,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Mark {
+    pub at: Us,
+    ver: Option<Ver>,
+    dec: Option<Arc<Decree>>,
+    rows: Arc<Vec<Row>>,
+}
+
+pub use crate::term::Held;
+
+impl Node {
+    /// Shows a new picture when something changed, and at least every 100 ms.
+    pub(super) fn view(&mut self, now: Us) {
+        let urgent = self.ver() != self.shown.ver;
+        let due = now.saturating_sub(self.shown.at) >= 20 * MS && self.show;
+        if !urgent && !due && now.saturating_sub(self.shown.at) < 100 * MS {
+            return;
+        }
+        self.show = false;
+        self.shown.at = now;
+        if urgent {
+            self.shown.ver = self.ver();
+            self.shown.dec = self.agree.last().cloned().map(Arc::new);
+        }
+        let rows: Vec<_> = self.news.live(now).cloned().collect();
+        if *self.shown.rows != rows {
+            self.shown.rows = Arc::new(rows);
+        }
+        let v = View {
+            ver: self.shown.ver,
+            fresh: self.fresh.since(self.ver()),
+            plan: self.plan.clone(),
+            dec: self.shown.dec.clone(),
+            workers: self.shown.rows.clone(),
+            nodes: self.ring.seen.values().map(|s| (s.p.clone(), self.ring.alive(s.p.nid, now))).collect(),
+            voter: self.voter(),
+            terms: (0..DUTIES).filter_map(|d| Some((d, self.terms.holds(d, now)?))).collect(),
+            grants: self.ledger.list(),
+            ups: self.news.ups.keys().copied().collect(),
+            counts: self.counts.list(),
+        };
+        self.out.push(Effect::Show(Arc::new(v)));
+    }
+}
--- /dev/null
+++ b/crates/seating/src/place/loads.rs
@@ -0,0 +1,88 @@
+use super::Table;
+use crate::base::{Us, hash64};
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard};
+
+const SHARDS: usize = 16;
+
+#[derive(Clone, Debug, Default)]
+struct Load {
+    own: u32,
+    /// What others had there when the worker last reported.
+    others: u32,
+    of: (u64, u64),
+    /// A life of this worker that failed a call, and the report it had made.
+    bad: Option<(u64, u64)>,
+    /// It said that it is full; until then it is taken at its word.
+    full: Us,
+}
+
+/// What this node itself has in flight, in shards with a lock each.
+#[derive(Debug)]
+pub struct Loads {
+    sh: Vec<Mutex<BTreeMap<String, Load>>>,
+}
+
+impl Default for Loads {
+    fn default() -> Self {
+        Loads { sh: (0..SHARDS).map(|_| Mutex::default()).collect() }
+    }
+}
+
+impl Loads {
+    fn at(&self, w: &str) -> MutexGuard<'_, BTreeMap<String, Load>> {
+        let i = usize::try_from(hash64(w.as_bytes()) % SHARDS as u64).unwrap_or(0);
+        match self.sh[i].lock() {
+            Ok(g) => g,
+            Err(e) => e.into_inner(),
+        }
+    }
+
+    /// The load of each place: own calls, and what the report counted of others.
+    pub fn of(&self, t: &Table, now: Us) -> Vec<u32> {
+        t.places
+            .iter()
+            .map(|p| {
+                let mut g = self.at(&p.wid);
+                let l = g.entry(p.wid.clone()).or_default();
+                if l.of < (p.inc, p.seq) {
+                    l.of = (p.inc, p.seq);
+                    l.others = p.busy.saturating_sub(l.own);
+                }
+                if l.bad.is_some_and(|b| b >= (p.inc, p.seq)) || now < l.full {
+                    return u32::MAX;
+                }
+                l.own + l.others
+            })
+            .collect()
+    }
+
+    pub fn begin(&self, w: &str) {
+        self.at(w).entry(w.to_owned()).or_default().own += 1;
+    }
+
+    pub fn end(&self, w: &str) {
+        if let Some(l) = self.at(w).get_mut(w) {
+            l.own = l.own.saturating_sub(1);
+        }
+    }
+
+    /// A call failed there: nothing goes to it before it reports anew.
+    pub fn bad(&self, w: &str, inc: u64, seq: u64) {
+        self.at(w).entry(w.to_owned()).or_default().bad = Some((inc, seq));
+    }
+
+    pub fn full(&self, w: &str, until: Us) {
+        self.at(w).entry(w.to_owned()).or_default().full = until;
+    }
+
+    pub fn own(&self) -> u64 {
+        self.sh
+            .iter()
+            .map(|m| match m.lock() {
+                Ok(g) => g.values().map(|l| u64::from(l.own)).sum::<u64>(),
+                Err(e) => e.into_inner().values().map(|l| u64::from(l.own)).sum(),
+            })
+            .sum()
+    }
+}
--- /dev/null
+++ b/crates/seating/src/place/mod.rs
@@ -0,0 +1,5 @@
+mod loads;
+mod table;
+
+pub use loads::Loads;
+pub use table::{Place, Table};
--- /dev/null
+++ b/crates/seating/src/place/table.rs
@@ -0,0 +1,101 @@
+use crate::base::hash64;
+use crate::peer::Row;
+use smallvec::SmallVec;
+use std::net::SocketAddr;
+
+/// Virtual places of one worker on the ring.
+const VIRTUAL: u32 = 64;
+/// How far above its even share a worker may be loaded, in hundredths.
+const BOUND: u64 = 125;
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Place {
+    pub wid: String,
+    pub inc: u64,
+    pub seq: u64,
+    pub addr: SocketAddr,
+    pub zone: String,
+    pub slots: u32,
+    pub busy: u32,
+}
+
+/// The workers of one pool and their ring; never changed, swapped whole.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Table {
+    pub places: Vec<Place>,
+    ring: Vec<(u64, u32)>,
+}
+
+impl Table {
+    pub fn new<'a>(rows: impl Iterator<Item = &'a Row>) -> Table {
+        let mut places: Vec<_> = rows
+            .filter_map(|r| {
+                Some(Place {
+                    wid: r.wid.clone(),
+                    inc: r.inc,
+                    seq: r.seq,
+                    addr: r.addr.parse().ok()?,
+                    zone: r.zone.clone(),
+                    slots: r.slots,
+                    busy: r.busy,
+                })
+            })
+            .collect();
+        places.sort_by(|a, b| a.wid.cmp(&b.wid));
+        let mut ring = Vec::with_capacity(places.len() * VIRTUAL as usize);
+        for (i, p) in places.iter().enumerate() {
+            for v in 0..VIRTUAL {
+                let mut k = p.wid.clone().into_bytes();
+                k.extend(v.to_le_bytes());
+                ring.push((hash64(&k), u32::try_from(i).unwrap_or(0)));
+            }
+        }
+        ring.sort_unstable();
+        Table { places, ring }
+    }
+
+    /// Who serves this prefix: along the ring, the own zone first, past those
+    /// above their bound, then past those that are full. None: all are full.
+    pub fn nominate(&self, h: u64, zone: &str, load: &[u32], skip: &[String]) -> Option<usize> {
+        let ok = |i: usize| {
+            let p = &self.places[i];
+            !skip.contains(&p.wid) && load.get(i).copied().unwrap_or(0) < p.slots
+        };
+        let order = self.walk(h);
+        for own in [true, false] {
+            let near = |i: usize| (self.places[i].zone == zone) == own;
+            let (mut sum, mut slots) = (1u64, 0u64);
+            for (i, p) in self.places.iter().enumerate().filter(|x| near(x.0)) {
+                sum += u64::from(load.get(i).copied().unwrap_or(0));
+                slots += u64::from(p.slots);
+            }
+            let under = |i: usize| {
+                let l = u64::from(load.get(i).copied().unwrap_or(0));
+                l * slots * 100 < sum * u64::from(self.places[i].slots) * BOUND
+            };
+            let mut it = order.iter().copied().filter(|i| near(*i) && ok(*i));
+            if let Some(i) = it.clone().find(|i| under(*i)).or_else(|| it.next()) {
+                return Some(i);
+            }
+        }
+        None
+    }
+
+    /// Every worker once, in the order that the ring gives from `h` on.
+    fn walk(&self, h: u64) -> SmallVec<[usize; 32]> {
+        let at = self.ring.partition_point(|x| x.0 < h);
+        let mut seen = vec![false; self.places.len()];
+        let mut out = SmallVec::new();
+        for (_, i) in self.ring[at..].iter().chain(&self.ring[..at]) {
+            let i = *i as usize;
+            if !seen[i] {
+                seen[i] = true;
+                out.push(i);
+                if out.len() == self.places.len() {
+                    break;
+                }
+            }
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/seating/src/quota/holder.rs
@@ -0,0 +1,175 @@
+use crate::base::{MS, Nid, Us};
+use crate::config::Quota;
+use crate::peer::Grant;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One node's ask that can't be met at once.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    pub nid: Nid,
+    pub n: u64,
+    pub want: u64,
+    pub at: Us,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Book {
+    win: u64,
+    from: Us,
+    cum: BTreeMap<Nid, u64>,
+    ret: BTreeMap<Nid, u64>,
+    wait: Vec<Ask>,
+    polled: Option<(Us, BTreeSet<Nid>)>,
+    calm: Us,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// Make this durable on a majority, then tell the node.
+    Give {
+        n: u64,
+        g: Grant,
+        left: Us,
+    },
+    Recall {
+        to: Vec<Nid>,
+        win: u64,
+    },
+    Spent {
+        nid: Nid,
+        n: u64,
+        win: u64,
+        left: Us,
+    },
+}
+
+/// What the holder of a tenant's quota keeps while its term lasts.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    books: BTreeMap<String, Book>,
+}
+
+const POLL: Us = 150 * MS;
+
+impl Ledger {
+    /// Takes over what a voter knows. A window whose beginning nobody knows begins now.
+    pub fn inherit(&mut self, g: &Grant, now: Us) {
+        let from = now.saturating_sub(g.age);
+        let b = self.books.entry(g.tenant.clone()).or_default();
+        if g.win > b.win {
+            *b = Book { win: g.win, from, ..Book::default() };
+        }
+        if g.win == b.win {
+            let c = b.cum.entry(g.nid).or_insert(0);
+            *c = (*c).max(g.cum);
+            b.from = b.from.min(from);
+        }
+    }
+
+    pub fn forget(&mut self, t: &str) {
+        self.books.remove(t);
+    }
+
+    pub fn age(&self, t: &str, win: u64, now: Us) -> Us {
+        self.books.get(t).filter(|b| b.win == win).map_or(0, |b| now.saturating_sub(b.from))
+    }
+
+    fn roll(b: &mut Book, q: Quota, now: Us) {
+        if b.win == 0 || now >= b.from + q.window {
+            *b = Book { win: b.win + 1, from: now, wait: std::mem::take(&mut b.wait), ..Book::default() };
+        }
+    }
+
+    pub fn ask(&mut self, t: &str, q: Quota, mut a: Ask, ret: (u64, u64), nodes: u64, now: Us) -> Vec<Turn> {
+        let b = self.books.entry(t.to_owned()).or_default();
+        Self::roll(b, q, now);
+        if ret.0 == b.win {
+            Self::returned(b, a.nid, ret.1);
+        }
+        a.at = now;
+        b.wait.retain(|w| w.nid != a.nid);
+        b.wait.push(a);
+        Self::turn(t, b, q, nodes, now)
+    }
+
+    pub fn give_back(&mut self, t: &str, q: Quota, nid: Nid, win: u64, ret: u64, nodes: u64, now: Us) -> Vec<Turn> {
+        let Some(b) = self.books.get_mut(t) else { return Vec::new() };
+        if b.win == win {
+            Self::returned(b, nid, ret);
+            if let Some((_, p)) = &mut b.polled {
+                p.remove(&nid);
+            }
+        }
+        Self::turn(t, b, q, nodes, now)
+    }
+
+    pub fn tick(&mut self, t: &str, q: Quota, nodes: u64, now: Us) -> Vec<Turn> {
+        let Some(b) = self.books.get_mut(t) else { return Vec::new() };
+        if b.wait.is_empty() {
+            return Vec::new();
+        }
+        Self::roll(b, q, now);
+        Self::turn(t, b, q, nodes, now)
+    }
+
+    fn returned(b: &mut Book, nid: Nid, ret: u64) {
+        let cap = b.cum.get(&nid).copied().unwrap_or(0);
+        let r = b.ret.entry(nid).or_insert(0);
+        *r = (*r).max(ret.min(cap));
+    }
+
+    fn left(b: &Book, q: Quota) -> u64 {
+        let out: u64 = b.cum.values().sum::<u64>() - b.ret.values().sum::<u64>();
+        q.calls.saturating_sub(out)
+    }
+
+    fn turn(t: &str, b: &mut Book, q: Quota, nodes: u64, now: Us) -> Vec<Turn> {
+        let mut out = Vec::new();
+        let end = (b.from + q.window).saturating_sub(now);
+        while let Some(a) = b.wait.first().cloned() {
+            let l = Self::left(b, q);
+            if l == 0 {
+                break;
+            }
+            b.wait.remove(0);
+            let fair = (l / (2 * nodes.max(1))).max(1);
+            let n = a.want.min(fair.max(l / 8)).max(1).min(l);
+            let c = b.cum.entry(a.nid).or_insert(0);
+            *c += n;
+            let g = Grant { tenant: t.to_owned(), win: b.win, nid: a.nid, cum: *c, age: now.saturating_sub(b.from) };
+            out.push(Turn::Give { n: a.n, g, left: end });
+        }
+        if b.wait.is_empty() {
+            b.polled = None;
+            return out;
+        }
+        let done = match &b.polled {
+            Some((at, p)) => p.is_empty() || now >= at + POLL,
+            None if now < b.calm => true,
+            None => {
+                let to: Vec<_> =
+                    b.cum.iter().filter(|(n, c)| **c > b.ret.get(n).copied().unwrap_or(0)).map(|x| *x.0).collect();
+                if to.is_empty() {
+                    true
+                } else {
+                    b.polled = Some((now, to.iter().copied().collect()));
+                    out.push(Turn::Recall { to, win: b.win });
+                    false
+                }
+            }
+        };
+        if done {
+            b.polled = None;
+            b.calm = now + 100 * MS;
+            for a in b.wait.drain(..) {
+                out.push(Turn::Spent { nid: a.nid, n: a.n, win: b.win, left: end });
+            }
+        }
+        out
+    }
+
+    /// For comparison: tenant, window, granted and returned over all nodes.
+    pub fn list(&self) -> Vec<(String, u64, u64, u64)> {
+        self.books.iter().map(|(t, b)| (t.clone(), b.win, b.cum.values().sum(), b.ret.values().sum())).collect()
+    }
+}
--- /dev/null
+++ b/crates/seating/src/quota/mod.rs
@@ -0,0 +1,5 @@
+mod holder;
+mod slices;
+
+pub use holder::{Ask, Ledger, Turn};
+pub use slices::{Slices, Take};
--- /dev/null
+++ b/crates/seating/src/quota/slices.rs
@@ -0,0 +1,154 @@
+use crate::base::{MS, Us, hash64};
+use std::collections::BTreeMap;
+use std::sync::{Mutex, MutexGuard};
+
+const SHARDS: usize = 16;
+
+/// A node's part of one tenant's window.
+#[derive(Clone, Debug, Default)]
+struct Slice {
+    win: u64,
+    got: u64,
+    ret: u64,
+    free: u64,
+    until: Us,
+    spent: Us,
+    /// Calls that looked for a unit since the last ask, for the size of the next.
+    looked: u64,
+    rate: u64,
+    waiting: u64,
+    asked: Us,
+    last: Us,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Take {
+    /// Taken from this window; more should be fetched if `low`.
+    Took { win: u64, low: bool },
+    /// Nothing here: ask the holder and wait.
+    Empty,
+    /// The holder said that the window is spent; it ends after this long.
+    Spent { left: Us },
+}
+
+/// Every tenant's slice on this node, in shards with a lock each.
+#[derive(Debug)]
+pub struct Slices {
+    sh: Vec<Mutex<BTreeMap<String, Slice>>>,
+}
+
+impl Default for Slices {
+    fn default() -> Self {
+        Slices { sh: (0..SHARDS).map(|_| Mutex::default()).collect() }
+    }
+}
+
+impl Slices {
+    fn at(&self, t: &str) -> MutexGuard<'_, BTreeMap<String, Slice>> {
+        let i = usize::try_from(hash64(t.as_bytes()) % SHARDS as u64).unwrap_or(0);
+        match self.sh[i].lock() {
+            Ok(g) => g,
+            Err(e) => e.into_inner(),
+        }
+    }
+
+    pub fn take(&self, t: &str, now: Us) -> Take {
+        let mut g = self.at(t);
+        let s = g.entry(t.to_owned()).or_default();
+        s.looked += 1;
+        s.last = now;
+        if now < s.until && s.free > 0 {
+            s.free -= 1;
+            let low = s.free <= s.rate / 2 && now.saturating_sub(s.asked) > 50 * MS;
+            return Take::Took { win: s.win, low };
+        }
+        if now < s.spent {
+            return Take::Spent { left: s.until.max(s.spent) - now };
+        }
+        Take::Empty
+    }
+
+    /// A call that was turned away unrun gives its unit back to its own window.
+    pub fn refund(&self, t: &str, win: u64) {
+        if let Some(s) = self.at(t).get_mut(t)
+            && s.win == win
+            && s.free + s.ret < s.got
+        {
+            s.free += 1;
+        }
+    }
+
+    /// What to ask for: as much as was lately looked for, and those who wait.
+    pub fn want(&self, t: &str, waiting: u64, now: Us) -> (u64, u64, u64) {
+        let mut g = self.at(t);
+        let s = g.entry(t.to_owned()).or_default();
+        let gap = now.saturating_sub(s.asked).max(1);
+        let per = s.looked.saturating_mul(250 * MS) / gap.max(250 * MS);
+        s.rate = s.rate.div_ceil(2).max(per);
+        s.looked = 0;
+        s.asked = now;
+        s.waiting = waiting;
+        let want = waiting.max(1) + s.rate.saturating_sub(s.free.min(s.rate));
+        (want, s.win, s.ret)
+    }
+
+    /// The holder's word on all that this node was ever granted in a window.
+    pub fn add(&self, t: &str, win: u64, cum: u64, until: Us) {
+        let mut g = self.at(t);
+        let s = g.entry(t.to_owned()).or_default();
+        if win < s.win {
+            return;
+        }
+        if win > s.win {
+            *s = Slice { win, looked: s.looked, rate: s.rate, asked: s.asked, last: s.last, ..Slice::default() };
+        }
+        if cum > s.got {
+            s.free += cum - s.got;
+            s.got = cum;
+            s.spent = 0;
+        }
+        s.until = s.until.max(until);
+    }
+
+    pub fn spent(&self, t: &str, win: u64, until: Us, now: Us) {
+        let mut g = self.at(t);
+        let s = g.entry(t.to_owned()).or_default();
+        if win >= s.win {
+            s.spent = until.min(now + 200 * MS);
+            if win > s.win {
+                *s = Slice { win, spent: s.spent, rate: s.rate, asked: s.asked, last: s.last, ..Slice::default() };
+            }
+            s.until = s.until.max(until);
+        }
+    }
+
+    /// Gives back what is idle; the sum given back in the window is told.
+    pub fn give(&self, t: &str, win: u64, now: Us) -> Option<u64> {
+        let mut g = self.at(t);
+        let s = g.get_mut(t)?;
+        if s.win != win || now >= s.until {
+            return None;
+        }
+        s.ret += s.free;
+        s.free = 0;
+        Some(s.ret)
+    }
+
+    pub fn idle(&self, t: &str, now: Us) -> bool {
+        self.at(t).get(t).is_none_or(|s| now.saturating_sub(s.last) > 300 * MS)
+    }
+
+    /// For comparison and metrics: tenant, window, granted, given back, free.
+    pub fn list(&self) -> Vec<(String, u64, u64, u64, u64)> {
+        let mut v = Vec::new();
+        for m in &self.sh {
+            let g = match m.lock() {
+                Ok(g) => g,
+                Err(e) => e.into_inner(),
+            };
+            v.extend(g.iter().map(|(t, s)| (t.clone(), s.win, s.got, s.ret, s.free)));
+        }
+        v.sort();
+        v
+    }
+}
--- /dev/null
+++ b/crates/seating/src/ring.rs
@@ -0,0 +1,112 @@
+use crate::base::{MS, Nid, Rng, SEC, Us, rdv};
+use crate::peer::Peer;
+use std::collections::BTreeMap;
+
+pub const EVERY: Us = 500 * MS;
+/// A node whose beat stood still this long is taken for gone.
+pub const GONE: Us = 2_500 * MS;
+const FORGET: Us = 60 * SEC;
+const WATCH: usize = 3;
+
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub p: Peer,
+    pub heard: Us,
+}
+
+/// The nodes as this one knows them.
+#[derive(Clone, Debug, Default)]
+pub struct Ring {
+    pub seen: BTreeMap<Nid, Seen>,
+    pub due: Us,
+    pub sent: BTreeMap<Nid, BTreeMap<Nid, u64>>,
+}
+
+impl Ring {
+    /// Merges what is told of a node; true if it was news.
+    pub fn merge(&mut self, p: &Peer, now: Us) -> bool {
+        match self.seen.get_mut(&p.nid) {
+            Some(s) if (p.inc, p.beat) <= (s.p.inc, s.p.beat) => false,
+            Some(s) => {
+                s.p = p.clone();
+                s.heard = now;
+                true
+            }
+            None => {
+                self.seen.insert(p.nid, Seen { p: p.clone(), heard: now });
+                true
+            }
+        }
+    }
+
+    pub fn alive(&self, n: Nid, now: Us) -> bool {
+        self.seen.get(&n).is_some_and(|s| !s.p.leaving && now.saturating_sub(s.heard) < GONE)
+    }
+
+    pub fn live(&self, now: Us) -> impl Iterator<Item = &Peer> {
+        self.seen.values().filter(move |s| !s.p.leaving && now.saturating_sub(s.heard) < GONE).map(|s| &s.p)
+    }
+
+    pub fn addr(&self, n: Nid) -> Option<&str> {
+        self.seen.get(&n).map(|s| s.p.addr.as_str())
+    }
+
+    /// The few that this node watches, by rendezvous.
+    pub fn watch(&self, me: Nid, now: Us) -> Vec<Nid> {
+        let mut v: Vec<_> =
+            self.live(now).filter(|p| p.nid != me).map(|p| (rdv(p.nid.0, &me.0.to_le_bytes()), p.nid)).collect();
+        v.sort_unstable_by(|a, b| b.cmp(a));
+        v.into_iter().take(WATCH).map(|x| x.1).collect()
+    }
+
+    /// The home of a service in a zone, and then its runner-up.
+    pub fn homes(&self, svc: &str, zone: &str, now: Us) -> Vec<Nid> {
+        let mut v: Vec<_> =
+            self.live(now).filter(|p| p.zone == zone).map(|p| (rdv(p.nid.0, svc.as_bytes()), p.nid)).collect();
+        v.sort_unstable_by(|a, b| b.cmp(a));
+        v.into_iter().take(2).map(|x| x.1).collect()
+    }
+
+    pub fn zones(&self, now: Us) -> Vec<String> {
+        let mut v: Vec<_> = self.live(now).map(|p| p.zone.clone()).collect();
+        v.sort_unstable();
+        v.dedup();
+        v
+    }
+
+    /// Ended lives are forgotten, and a newer life at an address ends the older one.
+    pub fn sweep(&mut self, now: Us) {
+        let at: BTreeMap<String, (Us, Nid)> = self.seen.values().fold(BTreeMap::new(), |mut m, s| {
+            let e = m.entry(s.p.addr.clone()).or_insert((s.heard, s.p.nid));
+            *e = (*e).max((s.heard, s.p.nid));
+            m
+        });
+        self.seen.retain(|n, s| {
+            let old = now.saturating_sub(s.heard);
+            old < FORGET && (old < GONE || at.get(&s.p.addr).is_none_or(|x| x.1 == *n))
+        });
+        let k: Vec<_> = self.sent.keys().filter(|n| !self.seen.contains_key(n)).copied().collect();
+        for n in k {
+            self.sent.remove(&n);
+        }
+    }
+
+    /// Any other known node, gone ones too, so that split halves meet again.
+    pub fn any(&self, me: Nid, r: &mut Rng) -> Option<Nid> {
+        let v: Vec<_> = self.seen.keys().filter(|n| **n != me).copied().collect();
+        if v.is_empty() { None } else { v.get(usize::try_from(r.below(v.len() as u64)).unwrap_or(0)).copied() }
+    }
+
+    /// The rows that a peer has not been told by this node.
+    pub fn delta(&mut self, to: Nid, now: Us) -> Vec<Peer> {
+        let m = self.sent.entry(to).or_default();
+        let mut out = Vec::new();
+        for (n, s) in &self.seen {
+            let k = s.p.inc.wrapping_mul(1 << 20).wrapping_add(s.p.beat);
+            if now.saturating_sub(s.heard) < GONE && m.insert(*n, k) != Some(k) {
+                out.push(s.p.clone());
+            }
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/seating/src/stream/mod.rs
@@ -0,0 +1,3 @@
+mod sse;
+
+pub use sse::{Broken, Pieces};
--- /dev/null
+++ b/crates/seating/src/term/grantor.rs
@@ -0,0 +1,61 @@
+use super::TERM;
+use crate::base::{Nid, Us};
+use std::collections::BTreeMap;
+
+/// A voter's book of the terms that it granted.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    /// After a start nothing is granted until any term given before it has ended.
+    pub quiet: Us,
+    pub rows: BTreeMap<u32, (Nid, u64, Us)>,
+    pub epochs: BTreeMap<u32, u64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Said {
+    /// A new epoch, to be kept on disk before it is said.
+    Yes {
+        write: bool,
+    },
+    No {
+        epoch: u64,
+        holder: Nid,
+        left: Us,
+    },
+}
+
+impl Book {
+    pub fn ask(&mut self, duty: u32, from: Nid, epoch: u64, now: Us) -> Said {
+        let top = self.epochs.get(&duty).copied().unwrap_or(0);
+        let cur = self.rows.get(&duty).copied();
+        let no = |h: Nid, left: Us| Said::No { epoch: top, holder: h, left };
+        if let Some((h, e, until)) = cur
+            && until > now
+            && h != from
+        {
+            return no(h, (until - now).max(e.min(1)));
+        }
+        let renew = cur.is_some_and(|(h, e, _)| h == from && e == epoch) && epoch == top;
+        if !renew {
+            if now < self.quiet {
+                return no(Nid::default(), self.quiet - now);
+            }
+            if epoch <= top {
+                return no(Nid::default(), 0);
+            }
+            self.epochs.insert(duty, epoch);
+        }
+        self.rows.insert(duty, (from, epoch, now + TERM));
+        Said::Yes { write: !renew }
+    }
+
+    /// Whether a holder's message still stands: nothing newer was granted.
+    pub fn fenced(&self, duty: u32, epoch: u64) -> bool {
+        self.epochs.get(&duty).is_some_and(|e| *e > epoch)
+    }
+
+    pub fn note(&mut self, duty: u32, epoch: u64) {
+        let e = self.epochs.entry(duty).or_insert(0);
+        *e = (*e).max(epoch);
+    }
+}
--- /dev/null
+++ b/crates/seating/src/term/holder.rs
@@ -0,0 +1,41 @@
+use super::{MARGIN, TERM};
+use crate::base::{Nid, Us};
+use crate::peer::Grant;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A core's standing with one duty.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    pub epoch: u64,
+    pub until: Us,
+    pub ask: Option<(u64, Us, BTreeSet<Nid>)>,
+    pub rest: Us,
+    /// What voters know, gathered until the term is won.
+    pub rows: Vec<Grant>,
+    pub fresh: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Terms {
+    pub held: BTreeMap<u32, Held>,
+    pub n: u64,
+    pub due: Us,
+    pub hint: BTreeMap<u32, Nid>,
+}
+
+impl Held {
+    /// The holder stops before the end that the grantors count.
+    pub fn holds(&self, now: Us) -> bool {
+        self.until > now + MARGIN
+    }
+
+    pub fn won(&mut self, at: Us) {
+        self.until = self.until.max(at + TERM);
+    }
+}
+
+impl Terms {
+    pub fn holds(&self, d: u32, now: Us) -> Option<u64> {
+        self.held.get(&d).filter(|h| h.holds(now)).map(|h| h.epoch)
+    }
+}
--- /dev/null
+++ b/crates/seating/src/tries/budget.rs
@@ -0,0 +1,19 @@
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Second tries are paid from first ones: each first try earns a fifth.
+#[derive(Debug, Default)]
+pub struct Budget(AtomicU64);
+
+const EARN: u64 = 200;
+const COST: u64 = 1_000;
+const MOST: u64 = 10 * COST;
+
+impl Budget {
+    pub fn first(&self) {
+        let _ = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| Some((n + EARN).min(MOST)));
+    }
+
+    pub fn second(&self) -> bool {
+        self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| n.checked_sub(COST)).is_ok()
+    }
+}
--- /dev/null
+++ b/crates/seating/src/wait/list.rs
@@ -0,0 +1,153 @@
+use crate::base::{SEC, Us};
+use crate::config::Kind;
+use std::collections::{BTreeMap, VecDeque};
+
+type Key = (String, Kind);
+
+#[derive(Clone, Debug)]
+struct Item<T> {
+    val: T,
+    due: Us,
+    tag: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Flow<T> {
+    q: VecDeque<Item<T>>,
+    weight: u64,
+    tag: u64,
+}
+
+/// Why a call may not wait; `back` is when it is worth coming again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    pub back: Us,
+}
+
+/// A bounded waitlist that serves tenants and kinds by their weights.
+#[derive(Clone, Debug)]
+pub struct Waitlist<T> {
+    flows: BTreeMap<Key, Flow<T>>,
+    vt: u64,
+    len: usize,
+    cap: usize,
+    /// Places that came free lately, for the time that a wait will take.
+    freed: VecDeque<Us>,
+}
+
+const UNIT: u64 = 1 << 20;
+
+impl<T> Waitlist<T> {
+    pub fn new(cap: usize) -> Self {
+        Waitlist { flows: BTreeMap::new(), vt: 0, len: 0, cap, freed: VecDeque::new() }
+    }
+
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    pub fn freed(&mut self, now: Us) {
+        self.freed.push_back(now);
+        while self.freed.len() > 64 || self.freed.front().is_some_and(|t| now.saturating_sub(*t) > 5 * SEC) {
+            self.freed.pop_front();
+        }
+    }
+
+    /// How long one place takes to come free, as far as lately seen.
+    fn pace(&self, now: Us) -> Option<Us> {
+        let a = *self.freed.front()?;
+        let n = self.freed.len() as u64;
+        if n < 4 { None } else { Some(now.saturating_sub(a) / n) }
+    }
+
+    /// Takes a call in, or says at once that it would wait in vain. A full list
+    /// makes room by letting the last of the longest-served flow go.
+    pub fn push(&mut self, k: Key, weight: u64, val: T, due: Us, now: Us) -> Result<Option<T>, (T, Refused)> {
+        let w = weight.max(1) * k.1.weight();
+        let total: u64 = self.flows.values().filter(|f| !f.q.is_empty()).map(|f| f.weight).sum::<u64>()
+            + if self.flows.get(&k).is_some_and(|f| !f.q.is_empty()) { 0 } else { w };
+        let mine = self.flows.get(&k).map_or(0, |f| f.q.len()) as u64;
+        if let Some(p) = self.pace(now) {
+            let est = p.saturating_mul((mine + 1) * total / w.max(1)).min(p.saturating_mul(self.len as u64 + 1));
+            if now.saturating_add(est) > due {
+                return Err((val, Refused { back: est }));
+            }
+        }
+        let mut out = None;
+        if self.len >= self.cap {
+            let longest = self
+                .flows
+                .iter()
+                .filter(|f| !f.1.q.is_empty())
+                .max_by_key(|f| f.1.q.len() as u64 * UNIT / f.1.weight)
+                .map(|f| f.0.clone());
+            let back = self.pace(now).unwrap_or(SEC / 10).saturating_mul(self.len as u64).min(30 * SEC);
+            match longest {
+                Some(l)
+                    if l != k && self.flows.get(&l).is_some_and(|f| f.q.len() as u64 * w > (mine + 1) * f.weight) =>
+                {
+                    if let Some(i) = self.flows.get_mut(&l).and_then(|f| f.q.pop_back()) {
+                        self.len -= 1;
+                        out = Some(i.val);
+                    }
+                }
+                _ => return Err((val, Refused { back })),
+            }
+        }
+        let vt = self.vt;
+        let f = self.flows.entry(k).or_insert(Flow { q: VecDeque::new(), weight: w, tag: 0 });
+        f.weight = w;
+        f.tag = f.tag.max(vt) + UNIT / w;
+        f.q.push_back(Item { val, due, tag: f.tag });
+        self.len += 1;
+        Ok(out)
+    }
+
+    /// The next in fair order for which there is room; `fits` may take the room.
+    pub fn pop<R>(&mut self, mut fits: impl FnMut(&T) -> Option<R>) -> Option<(T, R)> {
+        let mut ks: Vec<_> = self.flows.iter().filter_map(|(k, f)| Some((f.q.front()?.tag, k.clone()))).collect();
+        ks.sort();
+        for (tag, k) in ks {
+            let Some(f) = self.flows.get_mut(&k) else { continue };
+            let Some(r) = f.q.front().and_then(|i| fits(&i.val)) else { continue };
+            let Some(i) = f.q.pop_front() else { continue };
+            self.len -= 1;
+            self.vt = self.vt.max(tag);
+            if f.q.is_empty() && f.tag <= self.vt {
+                self.flows.remove(&k);
+            }
+            return Some((i.val, r));
+        }
+        None
+    }
+
+    /// Takes out everyone for whom `f` holds, such as those whose key was withdrawn.
+    pub fn take(&mut self, mut f: impl FnMut(&T, Us) -> bool) -> Vec<T> {
+        let mut out = Vec::new();
+        for fl in self.flows.values_mut() {
+            let q = std::mem::take(&mut fl.q);
+            for i in q {
+                if f(&i.val, i.due) {
+                    out.push(i.val);
+                } else {
+                    fl.q.push_back(i);
+                }
+            }
+        }
+        self.len -= out.len();
+        self.flows.retain(|_, f| !f.q.is_empty() || f.tag > self.vt);
+        out
+    }
+
+    pub fn expire(&mut self, now: Us) -> Vec<T> {
+        self.take(|_, due| due <= now)
+    }
+
+    pub fn back(&self, now: Us) -> Us {
+        self.pace(now).unwrap_or(SEC / 10).saturating_mul(self.len as u64 + 1).clamp(SEC / 2, 30 * SEC)
+    }
+}
--- /dev/null
+++ b/crates/seating/src/wait/mod.rs
@@ -0,0 +1,3 @@
+mod list;
+
+pub use list::{Refused, Waitlist};
--- /dev/null
+++ b/crates/usher/src/admin/config.rs
@@ -0,0 +1,268 @@
+use super::say::{json, quote, trouble};
+use crate::hall::{Hall, In};
+use futures::StreamExt;
+use seating::base::{Cid, Nid, Ver};
+use seating::config::check::Trouble;
+use seating::config::{effective as settings, judge};
+use seating::peer::{Change, Core, Fate};
+use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use viz::{Request, RequestExt, Response, StatusCode, header};
+
+const LARGE: usize = 4 << 20;
+
+pub async fn body(r: Request, most: usize) -> Result<String, Response> {
+    let mut s = r.into_body();
+    let mut b = Vec::new();
+    loop {
+        match tokio::time::timeout(Duration::from_secs(10), s.next()).await {
+            Ok(None) => break,
+            Ok(Some(Ok(d))) if b.len() + d.len() <= most => b.extend_from_slice(&d),
+            Ok(Some(Ok(_))) => {
+                let t = [Trouble::TooLarge { at: String::new(), is: most + 1, most }];
+                return Err(listed(StatusCode::UNPROCESSABLE_ENTITY, &t));
+            }
+            _ => {
+                return Err(trouble(
+                    StatusCode::BAD_REQUEST,
+                    "body",
+                    "the body broke off or came too slowly; send it again",
+                ));
+            }
+        }
+    }
+    String::from_utf8(b).map_err(|_| listed(StatusCode::BAD_REQUEST, &[Trouble::NotJson("it is not UTF-8".into())]))
+}
+
+fn listed(s: StatusCode, v: &[Trouble]) -> Response {
+    let ts: Vec<_> = v
+        .iter()
+        .take(200)
+        .map(|t| format!("{{\"at\":{},\"code\":\"{}\",\"remedy\":{}}}", quote(t.at()), t.code(), quote(&t.to_string())))
+        .collect();
+    json(
+        s,
+        format!(
+            "{{\"code\":\"invalid\",\"remedy\":\"mend what is listed; nothing was changed\",\"troubles\":[{}]}}",
+            ts.join(",")
+        ),
+    )
+}
+
+fn etag(r: &mut Response, v: Ver) {
+    if let Ok(t) = header::HeaderValue::from_str(&format!("\"{v}\"")) {
+        r.headers_mut().insert(header::ETAG, t);
+    }
+}
+
+pub async fn get(h: Arc<Hall>, _: Request) -> Response {
+    let v = h.view.load();
+    let Some(d) = &v.dec else {
+        return trouble(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_version",
+            "this node has learned no version yet; wait until /readyz says ready",
+        );
+    };
+    let mut r = json(StatusCode::OK, d.body.clone());
+    etag(&mut r, d.ver);
+    r
+}
+
+fn base(r: &Request) -> Result<Ver, Response> {
+    let Some(v) = r.headers().get(header::IF_MATCH) else {
+        return Err(trouble(
+            StatusCode::PRECONDITION_REQUIRED,
+            "no_base",
+            "send If-Match with the ETag that your change is built on",
+        ));
+    };
+    let t = v.to_str().unwrap_or("").trim();
+    let t = t.strip_prefix("W/").unwrap_or(t).trim_matches('"');
+    t.parse()
+        .map_err(|_| trouble(StatusCode::BAD_REQUEST, "base", "If-Match must be one ETag of /v1/config, such as \"7\""))
+}
+
+fn cid(r: &Request) -> Result<Cid, Response> {
+    match r.headers().get("change-id") {
+        None => {
+            let mut b = [0; 8];
+            if getrandom::fill(&mut b).is_err() {
+                return Err(trouble(
+                    StatusCode::INTERNAL_SERVER_ERROR,
+                    "random",
+                    "this machine gives no random numbers; send a Change-Id",
+                ));
+            }
+            Ok(Cid(u64::from_be_bytes(b).max(1)))
+        }
+        Some(v) => v.to_str().ok().and_then(Cid::parse).filter(|c| c.0 != 0).ok_or_else(|| {
+            trouble(StatusCode::BAD_REQUEST, "change_id", "Change-Id must be 16 hex digits, not all nought")
+        }),
+    }
+}
+
+fn dry(r: &Request) -> bool {
+    r.uri().query().is_some_and(|q| q.split('&').any(|x| x == "dry_run=true" || x == "dry_run=1"))
+}
+
+async fn ask(h: &Hall, cid: Cid, base: Ver, change: Change) -> Fate {
+    let (tx, rx) = oneshot::channel();
+    if h.inbox.send(In::Put { cid, base, change, back: tx }).await.is_err() {
+        return Fate::NoMajority;
+    }
+    rx.await.unwrap_or(Fate::Unknown)
+}
+
+fn told(f: Fate, c: Cid) -> Response {
+    match f {
+        Fate::Done { ver } => {
+            let mut r = json(StatusCode::OK, format!("{{\"state\":\"decided\",\"version\":{ver},\"change\":\"{c}\"}}"));
+            etag(&mut r, ver);
+            r
+        }
+        Fate::Stale { ver } => {
+            let mut r = json(
+                StatusCode::PRECONDITION_FAILED,
+                format!(
+                    "{{\"code\":\"stale_base\",\"remedy\":\"take the current version, build the change on it and send it again\",\"version\":{ver},\"change\":\"{c}\"}}"
+                ),
+            );
+            etag(&mut r, ver);
+            r
+        }
+        Fate::NoMajority => trouble(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_majority",
+            "no majority of the cores can be reached; nothing was changed, try again later",
+        ),
+        Fate::Unknown => json(
+            StatusCode::GATEWAY_TIMEOUT,
+            format!(
+                "{{\"code\":\"unknown\",\"state\":\"unknown\",\"remedy\":\"the change may still be decided: ask /v1/changes/{c} or send it again with the same Change-Id and base\",\"change\":\"{c}\"}}"
+            ),
+        ),
+        Fate::Reused => {
+            trouble(StatusCode::CONFLICT, "change_id", "this Change-Id stands for another change; send a new one")
+        }
+        Fate::Invalid { why } => trouble(StatusCode::UNPROCESSABLE_ENTITY, "invalid", &why),
+        Fate::Told { text } => json(StatusCode::OK, text),
+    }
+}
+
+pub async fn put(h: Arc<Hall>, r: Request) -> Response {
+    let dry = dry(&r);
+    let (b, c) = match (base(&r), cid(&r)) {
+        (Ok(b), Ok(c)) => (b, c),
+        (Err(e), _) | (_, Err(e)) => return e,
+    };
+    let s = match body(r, LARGE).await {
+        Ok(s) => s,
+        Err(r) => return r,
+    };
+    if let Err(v) = judge(&s) {
+        let st = if matches!(v.first(), Some(Trouble::NotJson(_))) {
+            StatusCode::BAD_REQUEST
+        } else {
+            StatusCode::UNPROCESSABLE_ENTITY
+        };
+        return listed(st, &v);
+    }
+    if dry {
+        let ver = h.view.load().ver.unwrap_or(0);
+        return if ver == b {
+            json(StatusCode::OK, format!("{{\"state\":\"valid\",\"version\":{ver}}}"))
+        } else {
+            told(Fate::Stale { ver }, c)
+        };
+    }
+    told(ask(&h, c, b, Change::Tree(s)).await, c)
+}
+
+pub async fn history(h: Arc<Hall>, _: Request) -> Response {
+    told(ask(&h, Cid(0), 0, Change::History).await, Cid(0))
+}
+
+pub async fn change(h: Arc<Hall>, r: Request) -> Response {
+    let Some(c) = r.param::<String>("cid").ok().and_then(|s| Cid::parse(&s)) else {
+        return trouble(StatusCode::BAD_REQUEST, "change_id", "a change id has 16 hex digits");
+    };
+    let b = r.uri().query().and_then(|q| q.split('&').find_map(|x| x.strip_prefix("base=")?.parse::<Ver>().ok()));
+    match ask(&h, c, b.unwrap_or(Ver::MAX), Change::Look).await {
+        Fate::Stale { ver } => {
+            json(StatusCode::OK, format!("{{\"state\":\"lost\",\"version\":{ver},\"change\":\"{c}\"}}"))
+        }
+        Fate::Unknown => json(
+            StatusCode::OK,
+            format!(
+                "{{\"state\":\"unknown\",\"remedy\":\"not decided so far; add ?base=N with its base for a final word once a later version is decided\",\"change\":\"{c}\"}}"
+            ),
+        ),
+        f => told(f, c),
+    }
+}
+
+pub async fn effective(h: Arc<Hall>, r: Request) -> Response {
+    let (s, n) = (r.param::<String>("sort").unwrap_or_default(), r.param::<String>("name").unwrap_or_default());
+    let v = h.view.load();
+    match settings(&v.plan, &s, &n) {
+        Some(t) => {
+            let mut r = json(StatusCode::OK, t);
+            etag(&mut r, v.plan.ver);
+            r
+        }
+        None => trouble(
+            StatusCode::NOT_FOUND,
+            "not_found",
+            "use /v1/effective/matches/NAME or /v1/effective/tenants/NAME with a name that is in the tree",
+        ),
+    }
+}
+
+pub async fn cores(h: Arc<Hall>, _: Request) -> Response {
+    let v = h.view.load();
+    let Some(d) = &v.dec else {
+        return trouble(StatusCode::SERVICE_UNAVAILABLE, "no_version", "this node has learned no version yet");
+    };
+    let cs: Vec<_> = d.cores.iter().map(|c| format!("{{\"id\":\"{}\",\"peer\":{}}}", c.nid, quote(&c.addr))).collect();
+    let mut r = json(StatusCode::OK, format!("[{}]", cs.join(",")));
+    etag(&mut r, d.ver);
+    r
+}
+
+pub async fn put_cores(h: Arc<Hall>, r: Request) -> Response {
+    let (b, c) = match (base(&r), cid(&r)) {
+        (Ok(b), Ok(c)) => (b, c),
+        (Err(e), _) | (_, Err(e)) => return e,
+    };
+    let s = match body(r, LARGE).await {
+        Ok(s) => s,
+        Err(r) => return r,
+    };
+    let Ok(v) = sonic_rs::from_str::<Value>(&s) else {
+        return listed(StatusCode::BAD_REQUEST, &[Trouble::NotJson("send a list of cores".into())]);
+    };
+    let mut cs = Vec::new();
+    let one = |x: &Value| {
+        let nid = Nid::parse(x.pointer(["id"])?.as_str()?)?;
+        let addr = x.pointer(["peer"])?.as_str()?.to_owned();
+        addr.parse::<std::net::SocketAddr>().ok()?;
+        Some(Core { nid, addr })
+    };
+    for (i, x) in v.as_array().into_iter().flat_map(|a| a.iter()).enumerate() {
+        match one(x) {
+            Some(c) => cs.push(c),
+            None => {
+                let t = Trouble::Wrong {
+                    at: format!("/{i}"),
+                    is: x.to_string(),
+                    want: "{\"id\": 16 hex digits, \"peer\": IP:PORT} as /v1/nodes shows".into(),
+                };
+                return listed(StatusCode::UNPROCESSABLE_ENTITY, &[t]);
+            }
+        }
+    }
+    told(ask(&h, c, b, Change::Cores(cs)).await, c)
+}
--- /dev/null
+++ b/crates/usher/src/admin/door.rs
@@ -0,0 +1,104 @@
+use super::say::{text, trouble};
+use super::{config, metrics, nodes, report};
+use crate::front;
+use crate::hall::Hall;
+use seating::base::sha_hex;
+use std::future::Future;
+use std::sync::Arc;
+use viz::{Request, Response, Result, Router, StatusCode, header};
+
+/// The token's hash is looked up; the token itself is kept nowhere.
+pub fn allowed(r: &Request, hashes: &[String]) -> bool {
+    r.headers()
+        .get(header::AUTHORIZATION)
+        .and_then(|v| v.to_str().ok())
+        .and_then(|s| s.strip_prefix("Bearer "))
+        .is_some_and(|t| hashes.contains(&sha_hex(t.trim().as_bytes())))
+}
+
+fn live(_: &Hall) -> Response {
+    text(StatusCode::OK, "live\n".into())
+}
+
+fn ready(h: &Hall) -> Response {
+    let v = h.view.load();
+    if h.stopping() {
+        text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n".into())
+    } else if !h.fresh(&v) {
+        text(StatusCode::SERVICE_UNAVAILABLE, "not fresh\n".into())
+    } else {
+        text(StatusCode::OK, "ready\n".into())
+    }
+}
+
+type Door<F> = fn(Arc<Hall>, Request) -> F;
+
+fn open(
+    h: &Arc<Hall>,
+    f: fn(&Hall) -> Response,
+) -> impl Fn(Request) -> std::future::Ready<Result<Response>> + Clone + Send + Sync + 'static {
+    let h = h.clone();
+    move |_| std::future::ready(Ok(f(&h)))
+}
+
+fn guarded<F>(
+    h: &Arc<Hall>,
+    f: Door<F>,
+) -> impl Fn(Request) -> std::pin::Pin<Box<dyn Future<Output = Result<Response>> + Send>> + Clone + Send + Sync + 'static
+where
+    F: Future<Output = Response> + Send + 'static,
+{
+    let h = h.clone();
+    move |r: Request| {
+        let h = h.clone();
+        Box::pin(async move {
+            if !allowed(&r, &h.env.operators) {
+                return Ok(trouble(
+                    StatusCode::UNAUTHORIZED,
+                    "token",
+                    "send an operator's token as: Authorization: Bearer TOKEN",
+                ));
+            }
+            Ok(f(h, r).await)
+        })
+    }
+}
+
+pub fn admin(h: &Arc<Hall>) -> Router {
+    let w = h.clone();
+    Router::new()
+        .get("/livez", open(h, live))
+        .get("/readyz", open(h, ready))
+        .get("/metrics", open(h, metrics::all))
+        .get("/v1/config", guarded(h, config::get))
+        .put("/v1/config", guarded(h, config::put))
+        .get("/v1/history", guarded(h, config::history))
+        .get("/v1/changes/:cid", guarded(h, config::change))
+        .get("/v1/effective/:sort/:name", guarded(h, config::effective))
+        .get("/v1/cores", guarded(h, config::cores))
+        .put("/v1/cores", guarded(h, config::put_cores))
+        .get("/v1/nodes", guarded(h, nodes::nodes))
+        .get("/v1/workers", guarded(h, nodes::workers))
+        .get("/v1/beliefs", guarded(h, nodes::beliefs))
+        .post("/v1/report", move |r: Request| {
+            let h = w.clone();
+            async move {
+                if !allowed(&r, &h.env.workers) {
+                    return Ok::<_, viz::Error>(trouble(
+                        StatusCode::UNAUTHORIZED,
+                        "token",
+                        "send a worker's token as: Authorization: Bearer TOKEN",
+                    ));
+                }
+                Ok(report::take(h, r).await)
+            }
+        })
+}
+
+pub fn downstream(h: &Arc<Hall>) -> Router {
+    let a = h.clone();
+    Router::new().get("/livez", open(h, live)).get("/readyz", open(h, ready)).any("/*", move |r: Request| {
+        let h = a.clone();
+        async move { Ok::<_, viz::Error>(front::serve(h, r).await) }
+    })
+}
--- /dev/null
+++ b/crates/usher/src/admin/metrics.rs
@@ -0,0 +1,35 @@
+use super::say::text;
+use crate::hall::{COUNT_HELP, Hall};
+use std::fmt::Write;
+use std::sync::atomic::Ordering;
+use viz::{Response, StatusCode};
+
+pub fn all(h: &Hall) -> Response {
+    let mut s = String::new();
+    let mut put = |n: &str, t: &str, v: u64, help: &str| {
+        let _ = writeln!(s, "# HELP usher_{n} {}\n# TYPE usher_{n} {t}\nusher_{n} {v}", help.trim());
+    };
+    for ((n, v), (_, d)) in h.counts.list().into_iter().zip(COUNT_HELP) {
+        put(&format!("{n}_total"), "counter", v, d);
+    }
+    let v = h.view.load();
+    for (n, c, d) in &v.counts {
+        put(&format!("{n}_total"), "counter", *c, d);
+    }
+    let l = |a: &std::sync::atomic::AtomicU64| a.load(Ordering::Relaxed);
+    put("peer_bytes_total", "counter", l(&h.tally.bytes_out), "Bytes sent to other nodes.");
+    put("peer_far_bytes_total", "counter", l(&h.tally.bytes_far), "Bytes sent to nodes of other zones.");
+    put("peer_garbled_total", "counter", l(&h.tally.garbled), "Peer connections closed for what came on them.");
+    put("peer_dropped_total", "counter", l(&h.tally.dropped), "Frames dropped for want of room or for age.");
+    if let Some(d) = &h.disk_troubles {
+        put("disk_troubles_total", "counter", l(d), "Writes that the disk refused.");
+    }
+    put("version", "gauge", v.ver.unwrap_or(0), "Version of the configuration in force.");
+    put("fresh", "gauge", u64::from(h.fresh(&v)), "Whether this node may admit calls.");
+    put("workers", "gauge", v.workers.len() as u64, "Workers that take calls.");
+    put("nodes", "gauge", v.nodes.iter().filter(|n| n.1).count() as u64, "Nodes that are here.");
+    put("in_flight", "gauge", h.loads.own(), "Calls at workers.");
+    put("waiting", "gauge", h.waits().values().map(|w| w.len() as u64).sum(), "Calls that wait for a place.");
+    put("terms", "gauge", v.terms.len() as u64, "Duties held.");
+    text(StatusCode::OK, s)
+}
--- /dev/null
+++ b/crates/usher/src/admin/nodes.rs
@@ -0,0 +1,86 @@
+use super::say::{json, quote};
+use crate::clock;
+use crate::hall::Hall;
+use seating::peer::Row;
+use std::sync::Arc;
+use viz::{Request, Response, StatusCode};
+
+fn join(v: impl Iterator<Item = String>) -> String {
+    format!("[{}]", v.collect::<Vec<_>>().join(","))
+}
+
+fn node_list(h: &Hall) -> String {
+    let v = h.view.load();
+    let cs = v.dec.as_ref().map(|d| d.cores.clone()).unwrap_or_default();
+    join(v.nodes.iter().map(|(p, alive)| {
+        format!(
+            "{{\"id\":\"{}\",\"peer\":{},\"admin\":{},\"zone\":{},\"core\":{},\"votes\":{},\"alive\":{alive},\"leaving\":{},\"version\":{}}}",
+            p.nid, quote(&p.addr), quote(&p.admin), quote(&p.zone), p.core,
+            cs.iter().any(|c| c.nid == p.nid), p.leaving, p.ver,
+        )
+    }))
+}
+
+fn worker_list(rows: &[Row]) -> String {
+    join(rows.iter().map(|r| {
+        format!(
+            "{{\"id\":{},\"addr\":{},\"pool\":{},\"zone\":{},\"incarnation\":{},\"seq\":{},\"slots\":{},\"busy\":{}}}",
+            quote(&r.wid),
+            quote(&r.addr),
+            quote(&r.pool),
+            quote(&r.zone),
+            r.inc,
+            r.seq,
+            r.slots,
+            r.busy,
+        )
+    }))
+}
+
+pub async fn nodes(h: Arc<Hall>, _: Request) -> Response {
+    json(StatusCode::OK, node_list(&h))
+}
+
+pub async fn workers(h: Arc<Hall>, _: Request) -> Response {
+    json(StatusCode::OK, worker_list(&h.view.load().workers))
+}
+
+/// All that this node believes, for comparison with another.
+pub async fn beliefs(h: Arc<Hall>, _: Request) -> Response {
+    let v = h.view.load();
+    let age = v.fresh.map_or("null".into(), |t| (clock::now().saturating_sub(t) / 1_000).to_string());
+    let d = v.dec.as_ref();
+    let cores =
+        join(d.iter().flat_map(|d| &d.cores).map(|c| format!("{{\"id\":\"{}\",\"peer\":{}}}", c.nid, quote(&c.addr))));
+    let terms = join(v.terms.iter().map(|(d, e)| format!("{{\"duty\":{d},\"epoch\":{e}}}")));
+    let grants =
+        join(v.grants.iter().map(|(t, w, c, r)| {
+            format!("{{\"tenant\":{},\"window\":{w},\"granted\":{c},\"returned\":{r}}}", quote(t))
+        }));
+    let slices = join(h.slices.list().iter().map(|(t, w, g, r, f)| {
+        format!("{{\"tenant\":{},\"window\":{w},\"granted\":{g},\"returned\":{r},\"free\":{f}}}", quote(t))
+    }));
+    let size = |n: &str, s: (usize, usize)| format!("\"{n}\":{{\"hits\":{},\"misses\":{}}}", s.0, s.1);
+    let cache = [
+        size("keys", h.caches.keys.size()),
+        size("quotas", h.caches.quotas.size()),
+        size("routes", h.caches.routes.size()),
+    ]
+    .join(",");
+    let fleet = d.map_or(0, |d| d.fleet);
+    json(
+        StatusCode::OK,
+        format!(
+            "{{\"id\":\"{}\",\"zone\":{},\"fleet\":\"{fleet:016x}\",\"version\":{},\"change\":{},\"stamp_age_ms\":{age},\"fresh\":{},\"votes\":{},\"stopping\":{},\"cores\":{cores},\"nodes\":{},\"workers\":{},\"terms\":{terms},\"grants\":{grants},\"slices\":{slices},\"cache\":{{{cache}}}}}",
+            h.nid,
+            quote(&h.env.zone),
+            v.ver.map_or("null".into(), |n| n.to_string()),
+            d.map_or("null".into(), |d| format!("\"{}\"", d.cid)),
+            h.fresh(&v),
+            v.voter,
+            h.stopping(),
+            node_list(&h),
+            worker_list(&v.workers),
+        ),
+    )
+}
--- /dev/null
+++ b/crates/usher/src/admin/report.rs
@@ -0,0 +1,68 @@
+use super::say::{json, trouble};
+use crate::hall::{Hall, In};
+use seating::peer::Row;
+use sonic_rs::{JsonValueTrait, Value};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use viz::{Request, Response, StatusCode};
+
+const LARGE: usize = 16 << 10;
+
+/// A worker says who it is and how loaded.
+pub async fn take(h: Arc<Hall>, r: Request) -> Response {
+    let b = match super::config::body(r, LARGE).await {
+        Ok(b) => b,
+        Err(r) => return r,
+    };
+    let row = match row(&b) {
+        Ok(r) => r,
+        Err((at, want)) => {
+            return trouble(StatusCode::UNPROCESSABLE_ENTITY, "report", &format!("{at}: must be {want}"));
+        }
+    };
+    if h.inbox.try_send(In::Report(row)).is_err() {
+        return trouble(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "busy",
+            "this node is behind with its reports; report to another one",
+        );
+    }
+    json(StatusCode::ACCEPTED, "{\"ok\":true}".into())
+}
+
+type Bad = (&'static str, &'static str);
+
+fn row(b: &str) -> Result<Row, Bad> {
+    let v: Value = sonic_rs::from_str(b).map_err(|_| ("", "one JSON object"))?;
+    let text = |k: &'static str| {
+        v.pointer([k])
+            .and_then(|x| x.as_str())
+            .filter(|s| !s.is_empty() && s.len() <= 128)
+            .map(str::to_owned)
+            .ok_or((k, "a text of 1 to 128 bytes"))
+    };
+    let num = |k: &'static str| v.pointer([k]).and_then(|x| x.as_u64()).ok_or((k, "a whole number"));
+    let small = |k: &'static str| num(k).and_then(|n| u32::try_from(n).map_err(|_| (k, "a small whole number")));
+    let r = Row {
+        wid: text("id")?,
+        inc: num("incarnation")?,
+        seq: num("seq")?,
+        addr: text("addr")?,
+        pool: text("pool")?,
+        zone: text("zone")?,
+        slots: small("slots")?,
+        busy: small("busy")?,
+        drain: match v.pointer(["draining"]) {
+            None => false,
+            Some(x) => x.as_bool().ok_or(("draining", "true or false"))?,
+        },
+        age: 0,
+    };
+    if r.addr.parse::<SocketAddr>().is_err() {
+        return Err(("addr", "an IP address and port"));
+    }
+    if r.slots == 0 || r.slots > 100_000 {
+        return Err(("slots", "from 1 to 100000"));
+    }
+    Ok(r)
+}
--- /dev/null
+++ b/crates/usher/src/admin/say.rs
@@ -0,0 +1,23 @@
+use viz::{Body, Response, StatusCode, header};
+
+pub fn json(status: StatusCode, s: String) -> Response {
+    let mut r = Response::new(Body::Full(s.into()));
+    *r.status_mut() = status;
+    r.headers_mut().insert(header::CONTENT_TYPE, header::HeaderValue::from_static("application/json"));
+    r
+}
+
+pub fn text(status: StatusCode, s: String) -> Response {
+    let mut r = Response::new(Body::Full(s.into()));
+    *r.status_mut() = status;
+    r.headers_mut().insert(header::CONTENT_TYPE, header::HeaderValue::from_static("text/plain; charset=utf-8"));
+    r
+}
+
+pub fn quote(s: &str) -> String {
+    sonic_rs::to_string(s).unwrap_or_else(|_| "\"\"".into())
+}
+
+pub fn trouble(status: StatusCode, code: &str, remedy: &str) -> Response {
+    json(status, format!("{{\"code\":{},\"remedy\":{}}}", quote(code), quote(remedy)))
+}
--- /dev/null
+++ b/crates/usher/src/brain/mod.rs
@@ -0,0 +1,143 @@
+//! The thread that steps the node: frames, timers, writes and pictures.
+
+use crate::clock;
+use crate::disk::Job;
+use crate::hall::{Hall, In, serve_waits};
+use crate::link::{Links, Tally, listen};
+use seating::base::{Nid, Ver};
+use seating::node::{Effect, Event, Node};
+use seating::peer::{Fate, Frame, pack};
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, oneshot, watch};
+
+pub struct Brain {
+    pub node: Node,
+    pub hall: Arc<Hall>,
+    pub inbox: mpsc::Receiver<In>,
+    pub synced: mpsc::UnboundedReceiver<u64>,
+    pub disk: Option<std::sync::mpsc::Sender<Job>>,
+    pub version: watch::Sender<Option<Ver>>,
+    pub tally: Arc<Tally>,
+}
+
+struct Open {
+    waits: HashMap<u64, oneshot::Sender<Fate>>,
+    n: u64,
+    links: Links,
+    workers: Arc<Vec<seating::peer::Row>>,
+    known: HashMap<Nid, bool>,
+}
+
+const TICK: Duration = Duration::from_millis(25);
+
+impl Brain {
+    pub async fn run(mut self, l: TcpListener) {
+        let (ftx, mut frx) = mpsc::channel::<Frame>(4096);
+        let got = async move |f: Frame| {
+            let _ = ftx.send(f).await;
+        };
+        tokio::task::spawn_local(listen(l, self.tally.clone(), got));
+        let mut o = Open {
+            waits: HashMap::new(),
+            n: 0,
+            links: Links::new(self.tally.clone()),
+            workers: Arc::default(),
+            known: HashMap::new(),
+        };
+        let mut t = tokio::time::interval(TICK);
+        t.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            let e = tokio::select! {
+                biased;
+                _ = t.tick() => Event::Tick,
+                Some(n) = self.synced.recv() => Event::Synced(n),
+                Some(f) = frx.recv() => Event::Frame(Box::new(f)),
+                i = self.inbox.recv() => match i {
+                    None => return,
+                    Some(In::Report(r)) => Event::Report(r),
+                    Some(In::Need { tenant, waiting }) => Event::Need { tenant, waiting },
+                    Some(In::Leave) => Event::Leave,
+                    Some(In::Put { cid, base, change, back }) => {
+                        o.n += 1;
+                        o.waits.insert(o.n, back);
+                        Event::Put { req: o.n, cid, base, change }
+                    }
+                },
+            };
+            let es = self.node.step(e, clock::now());
+            for e in es {
+                self.carry(e, &mut o);
+            }
+        }
+    }
+
+    fn carry(&mut self, e: Effect, o: &mut Open) {
+        match e {
+            Effect::Send { to, frame } => match pack(&frame) {
+                Ok(b) => {
+                    let far = self.node.ring.seen.values().any(|s| s.p.addr == to && s.p.zone != self.node.me.zone);
+                    o.links.send(&to, b, far);
+                }
+                Err(e) => tracing::error!(trouble = %e, "a frame was not sent"),
+            },
+            Effect::Write { tok, ops } => {
+                if let Some(d) = &self.disk {
+                    let _ = d.send(Job { tok, ops });
+                }
+            }
+            Effect::Answer { req, fate } => {
+                if let Some(b) = o.waits.remove(&req) {
+                    let _ = b.send(fate);
+                }
+            }
+            Effect::Wake { tenant } => self.hall.wake(&tenant).notify_waiters(),
+            Effect::Show(v) => {
+                let before = *self.version.borrow();
+                let news = !Arc::ptr_eq(&o.workers, &v.workers);
+                let ver = v.ver;
+                self.log(&v, o);
+                o.workers = v.workers.clone();
+                self.hall.view.store(v);
+                if before != ver {
+                    tracing::info!(version = ver, "a version is in force");
+                    let _ = self.version.send(ver);
+                }
+                let pools: Vec<String> = self.node.plan.pools.keys().cloned().collect();
+                for p in pools {
+                    if news {
+                        self.hall.caches.routes.delete(&p);
+                    }
+                    serve_waits(&self.hall, &p);
+                }
+            }
+        }
+    }
+
+    fn log(&self, v: &seating::node::View, o: &mut Open) {
+        for (p, alive) in &v.nodes {
+            if o.known.insert(p.nid, *alive) != Some(*alive) {
+                if *alive {
+                    tracing::info!(node = %p.nid, addr = %p.addr, zone = %p.zone, "a node is here");
+                } else {
+                    tracing::warn!(node = %p.nid, addr = %p.addr, "a node is gone");
+                }
+            }
+        }
+        if o.known.len() > v.nodes.len() {
+            o.known.retain(|n, _| v.nodes.iter().any(|x| x.0.nid == *n));
+        }
+        let ids = |ws: &[seating::peer::Row]| ws.iter().map(|r| r.wid.clone()).collect::<Vec<_>>();
+        if !Arc::ptr_eq(&o.workers, &v.workers) {
+            let (a, b) = (ids(&o.workers), ids(&v.workers));
+            for w in b.iter().filter(|w| !a.contains(w)) {
+                tracing::info!(worker = %w, "a worker takes calls");
+            }
+            for w in a.iter().filter(|w| !b.contains(w)) {
+                tracing::warn!(worker = %w, "a worker takes no calls");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/usher/src/disk/base.rs
@@ -0,0 +1,238 @@
+use displaydoc::Display;
+use musli::{Decode, Encode};
+use rusqlite::{Connection, OptionalExtension, params};
+use seating::agree::{KEEP, Kept, Op};
+use seating::base::{Inc, Nid, hash64};
+use seating::peer::{Ballot, Core, Decree, Grant};
+use std::path::Path;
+
+const FILE: &str = "usher.db";
+const MARK: i32 = 0x5355_4D41;
+const FORM: i64 = 1;
+
+#[derive(Debug, Display, thiserror::Error)]
+pub enum Damaged {
+    /// {0}: can't be used: {1}; mend the folder's rights or its disk
+    Folder(String, String),
+    /// {0}: holds other files and no usher.db; name an empty folder or the right one
+    Foreign(String),
+    /// {0}: is not a data folder of usher, or of another form ({1}); name the right folder, or use the release that wrote it
+    Form(String, String),
+    /// {0}: is damaged ({1}); move the folder away, start with an empty one, and admit this machine as a new core
+    Broken(String, String),
+    /// {0}: is in use by another process; stop that one, or name another folder
+    InUse(String),
+    /// the disk failed: {0}; free some room or replace the disk
+    Sql(#[from] rusqlite::Error),
+}
+
+/// The one file of a core.
+pub struct Base {
+    db: Connection,
+    at: String,
+}
+
+#[derive(Encode, Decode)]
+struct Vote {
+    inst: u64,
+    bal: Ballot,
+}
+
+#[derive(Encode, Decode)]
+struct Said {
+    bal: Ballot,
+    dec: Decree,
+}
+
+#[derive(Encode, Decode)]
+struct Pledge {
+    cores: Vec<Core>,
+}
+
+fn seal<T: Encode<musli::mode::Binary>>(t: &T) -> Result<Vec<u8>, rusqlite::Error> {
+    let mut b = musli::wire::to_vec(t).map_err(|e| rusqlite::Error::ToSqlConversionFailure(e.to_string().into()))?;
+    let h = hash64(&b);
+    b.extend(h.to_le_bytes());
+    Ok(b)
+}
+
+impl Base {
+    /// Opens the folder, or makes it where it is empty; the life counts starts.
+    pub fn open(dir: &Path, new: Nid) -> Result<(Base, Kept, Inc), Damaged> {
+        let at = dir.display().to_string();
+        let io = |e: std::io::Error| Damaged::Folder(at.clone(), e.to_string());
+        if !dir.exists() {
+            std::fs::create_dir(dir).map_err(io)?;
+        }
+        let file = dir.join(FILE);
+        let fresh = !file.exists();
+        if fresh && std::fs::read_dir(dir).map_err(io)?.next().is_some() {
+            return Err(Damaged::Foreign(at));
+        }
+        let db = Connection::open(&file).map_err(|e| Damaged::Folder(at.clone(), e.to_string()))?;
+        let mut b = Base { db, at };
+        b.lock()?;
+        if fresh {
+            b.make(new)?;
+            std::fs::File::open(dir)
+                .and_then(|d| d.sync_all())
+                .map_err(|e| Damaged::Folder(b.at.clone(), e.to_string()))?;
+        }
+        b.judge()?;
+        let k = b.load()?;
+        let life: i64 = b.db.query_row("UPDATE meta SET life = life + 1 RETURNING life", [], |r| r.get(0))?;
+        Ok((b, k, Inc::try_from(life).unwrap_or(1)))
+    }
+
+    fn lock(&mut self) -> Result<(), Damaged> {
+        let r = self.db.execute_batch(
+            "PRAGMA locking_mode=EXCLUSIVE; PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL; PRAGMA busy_timeout=0;
+             BEGIN IMMEDIATE; COMMIT;",
+        );
+        r.map_err(|e| match e.sqlite_error_code() {
+            Some(rusqlite::ErrorCode::DatabaseBusy | rusqlite::ErrorCode::DatabaseLocked) => {
+                Damaged::InUse(self.at.clone())
+            }
+            Some(rusqlite::ErrorCode::NotADatabase) => Damaged::Form(self.at.clone(), "no SQLite file".into()),
+            Some(rusqlite::ErrorCode::DatabaseCorrupt) => Damaged::Broken(self.at.clone(), e.to_string()),
+            _ => Damaged::Sql(e),
+        })
+    }
+
+    fn make(&mut self, nid: Nid) -> Result<(), Damaged> {
+        let t = self.db.transaction()?;
+        t.execute_batch(&format!(
+            "PRAGMA application_id={MARK};
+             CREATE TABLE meta (one INTEGER PRIMARY KEY CHECK (one = 1), form INTEGER NOT NULL, nid BLOB NOT NULL, life INTEGER NOT NULL, ready INTEGER);
+             CREATE TABLE decree (ver INTEGER PRIMARY KEY, body BLOB NOT NULL);
+             CREATE TABLE vote (what TEXT PRIMARY KEY, body BLOB NOT NULL);
+             CREATE TABLE epoch (duty INTEGER PRIMARY KEY, epoch INTEGER NOT NULL);
+             CREATE TABLE quota (tenant TEXT NOT NULL, nid BLOB NOT NULL, win INTEGER NOT NULL, cum INTEGER NOT NULL, PRIMARY KEY (tenant, nid));"
+        ))?;
+        t.execute("INSERT INTO meta VALUES (1, ?1, ?2, 0, NULL)", params![FORM, nid.0.to_be_bytes()])?;
+        t.commit()?;
+        Ok(())
+    }
+
+    fn judge(&self) -> Result<(), Damaged> {
+        let bad = |e: rusqlite::Error| Damaged::Broken(self.at.clone(), e.to_string());
+        let mark: i32 = self.db.query_row("PRAGMA application_id", [], |r| r.get(0)).map_err(bad)?;
+        if mark != MARK {
+            return Err(Damaged::Form(self.at.clone(), "not marked as usher's".into()));
+        }
+        let ok: String = self.db.query_row("PRAGMA integrity_check", [], |r| r.get(0)).map_err(bad)?;
+        if ok != "ok" {
+            return Err(Damaged::Broken(self.at.clone(), ok));
+        }
+        let form: i64 = self.db.query_row("SELECT form FROM meta", [], |r| r.get(0)).map_err(bad)?;
+        if form != FORM {
+            return Err(Damaged::Form(self.at.clone(), format!("form {form}, this release knows {FORM}")));
+        }
+        Ok(())
+    }
+
+    fn unseal<T: for<'a> Decode<'a, musli::mode::Binary, musli::alloc::Global>>(
+        &self,
+        b: &[u8],
+        what: &str,
+    ) -> Result<T, Damaged> {
+        let bad = || Damaged::Broken(self.at.clone(), format!("{what} does not match its check sum"));
+        let (d, h) = b.split_at_checked(b.len().saturating_sub(8)).ok_or_else(bad)?;
+        if h != hash64(d).to_le_bytes() {
+            return Err(bad());
+        }
+        musli::wire::from_slice(d).map_err(|_| bad())
+    }
+
+    fn load(&self) -> Result<Kept, Damaged> {
+        let id = |b: Vec<u8>| b.try_into().map(u64::from_be_bytes).map(Nid);
+        let torn = || Damaged::Broken(self.at.clone(), "a member id is torn".into());
+        let (b, ready): (Vec<u8>, Option<i64>) =
+            self.db.query_row("SELECT nid, ready FROM meta", [], |r| Ok((r.get(0)?, r.get(1)?)))?;
+        let mut k = Kept {
+            nid: id(b).map_err(|_| torn())?,
+            ready: ready.and_then(|r| u64::try_from(r).ok()),
+            ..Kept::default()
+        };
+        let mut q = self.db.prepare("SELECT body FROM decree ORDER BY ver")?;
+        for b in q.query_map([], |r| r.get::<_, Vec<u8>>(0))? {
+            let d: Decree = self.unseal(&b?, "a version")?;
+            k.decs.insert(d.ver, d);
+        }
+        let blob = |w: &str| -> Result<Option<Vec<u8>>, rusqlite::Error> {
+            self.db.query_row("SELECT body FROM vote WHERE what = ?1", [w], |r| r.get(0)).optional()
+        };
+        if let Some(b) = blob("promise")? {
+            let v: Vote = self.unseal(&b, "the promise")?;
+            k.prom = Some((v.inst, v.bal));
+        }
+        if let Some(b) = blob("accept")? {
+            let v: Said = self.unseal(&b, "the acceptance")?;
+            k.acc = Some((v.bal, v.dec));
+        }
+        if let Some(b) = blob("pledge")? {
+            let v: Pledge = self.unseal(&b, "the pledge")?;
+            k.pledge = v.cores;
+        }
+        let mut q = self.db.prepare("SELECT duty, epoch FROM epoch")?;
+        for r in q.query_map([], |r| Ok((r.get::<_, u32>(0)?, r.get::<_, i64>(1)?)))? {
+            let (d, e) = r?;
+            k.epochs.insert(d, u64::try_from(e).unwrap_or(0));
+        }
+        let mut q = self.db.prepare("SELECT tenant, nid, win, cum FROM quota")?;
+        let rs = q.query_map([], |r| {
+            Ok((r.get::<_, String>(0)?, r.get::<_, Vec<u8>>(1)?, r.get::<_, i64>(2)?, r.get::<_, i64>(3)?))
+        })?;
+        for r in rs {
+            let (tenant, n, win, cum) = r?;
+            let nid = id(n).map_err(|_| torn())?;
+            let u = |n: i64| u64::try_from(n).unwrap_or(0);
+            k.grants.insert((tenant.clone(), nid), Grant { tenant, win: u(win), nid, cum: u(cum), age: 0 });
+        }
+        Ok(k)
+    }
+
+    /// Writes all of it or nothing, and returns when the disk has it.
+    pub fn commit<'a>(&mut self, ops: impl Iterator<Item = &'a Op>) -> Result<(), Damaged> {
+        let i = |n: u64| i64::try_from(n).unwrap_or(i64::MAX);
+        let t = self.db.transaction()?;
+        let put = |w: &str, b: Vec<u8>| -> Result<(), Damaged> {
+            t.prepare_cached("INSERT OR REPLACE INTO vote VALUES (?1, ?2)")?.execute(params![w, b])?;
+            Ok(())
+        };
+        for o in ops {
+            match o {
+                Op::Pledge(p) => put("pledge", seal(&Pledge { cores: p.clone() })?)?,
+                Op::Promise { inst, bal } => put("promise", seal(&Vote { inst: *inst, bal: *bal })?)?,
+                Op::Accept { bal, dec } => put("accept", seal(&Said { bal: *bal, dec: dec.clone() })?)?,
+                Op::Decide(d) => {
+                    t.prepare_cached("INSERT OR REPLACE INTO decree VALUES (?1, ?2)")?
+                        .execute(params![i(d.ver), seal(d)?])?;
+                    t.prepare_cached(
+                        "DELETE FROM decree WHERE ver NOT IN (SELECT ver FROM decree ORDER BY ver DESC LIMIT ?1)",
+                    )?
+                    .execute(params![i(KEEP as u64)])?;
+                }
+                Op::Epoch { duty, epoch } => {
+                    t.prepare_cached("INSERT OR REPLACE INTO epoch VALUES (?1, ?2)")?
+                        .execute(params![duty, i(*epoch)])?;
+                }
+                Op::Ready(v) => {
+                    t.prepare_cached("UPDATE meta SET ready = ?1")?.execute(params![i(*v)])?;
+                }
+                Op::Grant(g) => {
+                    t.prepare_cached("DELETE FROM quota WHERE tenant = ?1 AND win < ?2")?
+                        .execute(params![g.tenant, i(g.win)])?;
+                    t.prepare_cached("INSERT OR REPLACE INTO quota VALUES (?1, ?2, ?3, ?4)")?.execute(params![
+                        g.tenant,
+                        g.nid.0.to_be_bytes(),
+                        i(g.win),
+                        i(g.cum)
+                    ])?;
+                }
+            }
+        }
+        t.commit()?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/usher/src/disk/desk.rs
@@ -0,0 +1,53 @@
+use super::Base;
+use seating::agree::Op;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
+
+#[derive(Debug)]
+pub struct Job {
+    pub tok: u64,
+    pub ops: Vec<Op>,
+}
+
+/// The thread that alone touches the disk.
+pub struct Desk {
+    pub tx: Sender<Job>,
+    pub troubles: Arc<AtomicU64>,
+}
+
+impl Desk {
+    /// Writes in order, many jobs in one commit; what fails is tried again, and
+    /// nobody is told before it is synced.
+    pub fn open(mut base: Base, done: impl Fn(u64) + Send + 'static) -> std::io::Result<Desk> {
+        let (tx, rx): (Sender<Job>, Receiver<Job>) = channel();
+        let troubles = Arc::new(AtomicU64::new(0));
+        let t = troubles.clone();
+        std::thread::Builder::new().name("disk".into()).spawn(move || {
+            while let Ok(j) = rx.recv() {
+                let mut js = vec![j];
+                while js.len() < 256
+                    && let Ok(j) = rx.try_recv()
+                {
+                    js.push(j);
+                }
+                let tok = js.last().map_or(0, |j| j.tok);
+                let mut bad = false;
+                while let Err(e) = base.commit(js.iter().flat_map(|j| j.ops.iter())) {
+                    t.fetch_add(1, Ordering::Relaxed);
+                    if !bad {
+                        tracing::error!(trouble = %e, "the disk takes no writes; this core does not vote until it does");
+                    }
+                    bad = true;
+                    std::thread::sleep(Duration::from_millis(200));
+                }
+                if bad {
+                    tracing::info!("the disk takes writes again");
+                }
+                done(tok);
+            }
+        })?;
+        Ok(Desk { tx, troubles })
+    }
+}
--- /dev/null
+++ b/crates/usher/src/env/args.rs
@@ -0,0 +1,70 @@
+use super::read::{Env, Flags, Trouble, read};
+use getopts::Options;
+
+pub const HELP: &str = "usher: the one program of a sumacvale fleet
+
+Usage: usher --env FILE [flags]
+
+A flag goes before the same setting in the file. With a data folder the node
+is a core, else a front.";
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum Asked {
+    Run(Box<Env>),
+    Checked(Box<Env>),
+    Say(String),
+    Wrong(Vec<Trouble>),
+}
+
+fn options() -> Options {
+    let mut o = Options::new();
+    o.optopt("", "env", "settings file, one JSON object", "FILE")
+        .optopt("", "peer", "address for the other nodes", "IP:PORT")
+        .optopt("", "admin", "address for operators and workers", "IP:PORT")
+        .optopt("", "downstream", "address for callers", "IP:PORT")
+        .optopt("", "zone", "zone of this machine", "NAME")
+        .optmulti("", "seed", "peer address of a first contact; give three", "IP:PORT")
+        .optopt("", "data", "data folder; makes this node a core", "FOLDER")
+        .optflag("", "check", "judge the settings, open nothing, and stop")
+        .optflag("h", "help", "show this help")
+        .optflag("V", "version", "show the version");
+    o
+}
+
+pub fn ask(args: &[String]) -> Asked {
+    let o = options();
+    let m = match o.parse(args) {
+        Ok(m) => m,
+        Err(e) => return Asked::Wrong(vec![Trouble::Flag(e.to_string())]),
+    };
+    if m.opt_present("help") {
+        return Asked::Say(o.usage(HELP));
+    }
+    if m.opt_present("version") {
+        return Asked::Say(format!("usher {}", env!("CARGO_PKG_VERSION")));
+    }
+    if let Some(f) = m.free.first() {
+        return Asked::Wrong(vec![Trouble::Flag(format!("unexpected word {f}"))]);
+    }
+    let f = Flags {
+        peer: m.opt_str("peer"),
+        admin: m.opt_str("admin"),
+        downstream: m.opt_str("downstream"),
+        zone: m.opt_str("zone"),
+        seeds: m.opt_strs("seed"),
+        data: m.opt_str("data"),
+    };
+    let text = match m.opt_str("env") {
+        None => None,
+        Some(p) => match std::fs::read_to_string(&p) {
+            Ok(s) => Some(s),
+            Err(e) => return Asked::Wrong(vec![Trouble::File { file: p, why: e.to_string() }]),
+        },
+    };
+    match read(text.as_deref(), &f) {
+        Err(v) => Asked::Wrong(v),
+        Ok(e) if m.opt_present("check") => Asked::Checked(Box::new(e)),
+        Ok(e) => Asked::Run(Box::new(e)),
+    }
+}
--- /dev/null
+++ b/crates/usher/src/env/mod.rs
@@ -0,0 +1,5 @@
+mod args;
+mod read;
+
+pub use args::{Asked, HELP, ask};
+pub use read::{Env, Trouble, read};
--- /dev/null
+++ b/crates/usher/src/env/read.rs
@@ -0,0 +1,306 @@
+use displaydoc::Display;
+use seating::base::{MS, Us};
+use seating::config::check::shape_max;
+use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// What this node was set to, checked as a whole before anything opens.
+#[derive(Clone, Debug)]
+pub struct Env {
+    pub peer: SocketAddr,
+    pub admin: SocketAddr,
+    pub downstream: SocketAddr,
+    pub zone: String,
+    pub seeds: Vec<SocketAddr>,
+    pub data: Option<PathBuf>,
+    pub operators: Vec<String>,
+    pub workers: Vec<String>,
+    /// How long readiness is refused before the listener closes.
+    pub notice: Us,
+    /// How long calls that were read may take after that.
+    pub grace: Us,
+    pub threads: usize,
+    pub waitlist: usize,
+    pub conns: usize,
+}
+
+#[derive(Debug, Default)]
+pub struct Flags {
+    pub peer: Option<String>,
+    pub admin: Option<String>,
+    pub downstream: Option<String>,
+    pub zone: Option<String>,
+    pub seeds: Vec<String>,
+    pub data: Option<String>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Display)]
+pub enum Trouble {
+    /// command line: {0}; see usher --help
+    Flag(String),
+    /// --env {file}: {why}; name a file that can be read
+    File { file: String, why: String },
+    /// settings file: {0}
+    Shape(String),
+    /// {at}: unknown setting; known are {known}
+    Unknown { at: String, known: String },
+    /// {at}: is missing; set it in the file or with its flag
+    Missing { at: String },
+    /// {at}: {is} is no {want}
+    Wrong { at: String, is: String, want: String },
+    /// {at}: stands there twice; name three different seeds
+    Twice { at: String },
+    /// {at}: {is} seeds are named; name exactly three
+    Seeds { at: String, is: usize },
+    /// {at}: the same address as {other}; give each listener its own
+    Same { at: String, other: String },
+    /// {at}: {why}
+    Data { at: String, why: String },
+}
+
+const KNOWN: [&str; 13] = [
+    "peer",
+    "admin",
+    "downstream",
+    "zone",
+    "seeds",
+    "data",
+    "operators",
+    "workers",
+    "notice_ms",
+    "grace_ms",
+    "threads",
+    "waitlist",
+    "connections",
+];
+
+struct Src<'a> {
+    v: Option<Value>,
+    out: &'a mut Vec<Trouble>,
+}
+
+impl Src<'_> {
+    fn raw(&self, k: &str) -> Option<&Value> {
+        self.v.as_ref()?.pointer([k])
+    }
+
+    fn wrong(&mut self, at: &str, is: &str, want: &str) {
+        self.out.push(Trouble::Wrong { at: at.into(), is: is.into(), want: want.into() });
+    }
+
+    fn text(&mut self, k: &str, flag: Option<&String>) -> Option<(String, String)> {
+        if let Some(f) = flag {
+            return Some((format!("--{k}"), f.clone()));
+        }
+        let v = self.raw(k)?.clone();
+        match v.as_str() {
+            Some(s) => Some((format!("/{k}"), s.to_owned())),
+            None => {
+                self.wrong(&format!("/{k}"), &v.to_string(), "text");
+                None
+            }
+        }
+    }
+
+    fn addr(&mut self, k: &str, flag: Option<&String>) -> Option<SocketAddr> {
+        let Some((at, s)) = self.text(k, flag) else {
+            if self.raw(k).is_none() {
+                self.out.push(Trouble::Missing { at: format!("/{k}") });
+            }
+            return None;
+        };
+        self.addr_of(&at, &s)
+    }
+
+    fn addr_of(&mut self, at: &str, s: &str) -> Option<SocketAddr> {
+        match s.parse::<SocketAddr>() {
+            Ok(a) if a.port() != 0 && !a.ip().is_unspecified() => Some(a),
+            _ => {
+                self.wrong(at, s, "IP address and port that others can reach, such as 10.0.0.4:7000");
+                None
+            }
+        }
+    }
+
+    fn num(&mut self, k: &str, lo: u64, hi: u64, def: u64) -> u64 {
+        let Some(v) = self.raw(k).cloned() else { return def };
+        match v.as_u64() {
+            Some(n) if (lo..=hi).contains(&n) => n,
+            _ => {
+                self.wrong(&format!("/{k}"), &v.to_string(), &format!("whole number from {lo} to {hi}"));
+                def
+            }
+        }
+    }
+
+    fn hashes(&mut self, k: &str) -> Vec<String> {
+        let Some(v) = self.raw(k).cloned() else { return Vec::new() };
+        let Some(a) = v.as_array() else {
+            self.wrong(&format!("/{k}"), "it", "list of sha256: hashes");
+            return Vec::new();
+        };
+        let mut o = Vec::new();
+        for (i, x) in a.iter().enumerate() {
+            let h = x.as_str().and_then(|s| s.strip_prefix("sha256:"));
+            match h.filter(|h| h.len() == 64 && h.bytes().all(|b| b.is_ascii_hexdigit())) {
+                Some(h) => o.push(h.to_ascii_lowercase()),
+                None => self.wrong(
+                    &format!("/{k}/{i}"),
+                    "this (not shown, it may be a token)",
+                    "sha256: with 64 hex digits; keep only hashes of tokens here",
+                ),
+            }
+        }
+        o
+    }
+}
+
+pub fn read(text: Option<&str>, f: &Flags) -> Result<Env, Vec<Trouble>> {
+    let mut out = Vec::new();
+    let mut v = None;
+    if let Some(s) = text {
+        let bad = shape_max(s, 1 << 20);
+        if bad.is_empty() {
+            v = sonic_rs::from_str::<Value>(s).ok();
+        }
+        out.extend(bad.iter().map(|t| Trouble::Shape(t.to_string())));
+        if let Some(o) = v.as_ref() {
+            match o.as_object() {
+                None => {
+                    out.push(Trouble::Shape("it is no object; write one JSON object".into()));
+                    v = None;
+                }
+                Some(o) => {
+                    for (k, _) in o {
+                        if !KNOWN.contains(&k) {
+                            out.push(Trouble::Unknown { at: format!("/{k}"), known: KNOWN.join(", ") });
+                        }
+                    }
+                }
+            }
+        }
+    }
+    let mut s = Src { v, out: &mut out };
+    let peer = s.addr("peer", f.peer.as_ref());
+    let admin = s.addr("admin", f.admin.as_ref());
+    let downstream = s.addr("downstream", f.downstream.as_ref());
+    let zone = match s.text("zone", f.zone.as_ref()) {
+        Some((at, z)) if z.is_empty() || z.len() > 64 || z.chars().any(char::is_whitespace) => {
+            s.wrong(&at, &z, "zone name of 1 to 64 bytes without blanks");
+            None
+        }
+        Some((_, z)) => Some(z),
+        None => {
+            if s.raw("zone").is_none() {
+                s.out.push(Trouble::Missing { at: "/zone".into() });
+            }
+            None
+        }
+    };
+    let seeds = seeds(&mut s, f);
+    let data = s.text("data", f.data.as_ref());
+    let operators = s.hashes("operators");
+    let workers = s.hashes("workers");
+    let notice = s.num("notice_ms", 0, 60_000, 2_000) * MS;
+    let grace = s.num("grace_ms", 0, 600_000, 25_000) * MS;
+    let threads = usize::try_from(s.num("threads", 1, 256, 2)).unwrap_or(2);
+    let waitlist = usize::try_from(s.num("waitlist", 1, 100_000, 256)).unwrap_or(256);
+    let conns = usize::try_from(s.num("connections", 1, 1_000_000, 4_096)).unwrap_or(4_096);
+    if let (Some(p), Some(a), Some(d)) = (peer, admin, downstream) {
+        for (x, y, n, m) in [(p, a, "/admin", "/peer"), (p, d, "/downstream", "/peer"), (a, d, "/downstream", "/admin")]
+        {
+            if x == y {
+                out.push(Trouble::Same { at: n.into(), other: m.into() });
+            }
+        }
+    }
+    if operators.is_empty()
+        && !out.iter().any(|t| matches!(t, Trouble::Wrong { at, .. } if at.starts_with("/operators")))
+    {
+        out.push(Trouble::Missing { at: "/operators".into() });
+    }
+    let data = data.and_then(|(at, d)| match folder(Path::new(&d)) {
+        Ok(p) => Some(p),
+        Err(why) => {
+            out.push(Trouble::Data { at, why });
+            None
+        }
+    });
+    match (peer, admin, downstream, zone) {
+        (Some(peer), Some(admin), Some(downstream), Some(zone)) if out.is_empty() => Ok(Env {
+            peer,
+            admin,
+            downstream,
+            zone,
+            seeds,
+            data,
+            operators,
+            workers,
+            notice,
+            grace,
+            threads,
+            waitlist,
+            conns,
+        }),
+        _ => Err(out),
+    }
+}
+
+fn seeds(s: &mut Src, f: &Flags) -> Vec<SocketAddr> {
+    let mut named: Vec<(String, String)> = f.seeds.iter().map(|x| ("--seed".to_owned(), x.clone())).collect();
+    if named.is_empty() {
+        match s.raw("seeds").cloned() {
+            None => {
+                s.out.push(Trouble::Missing { at: "/seeds".into() });
+                return Vec::new();
+            }
+            Some(v) => match v.as_array() {
+                None => s.wrong("/seeds", &v.to_string(), "list of three addresses"),
+                Some(a) => {
+                    for (i, x) in a.iter().enumerate() {
+                        match x.as_str() {
+                            Some(t) => named.push((format!("/seeds/{i}"), t.to_owned())),
+                            None => s.wrong(&format!("/seeds/{i}"), &x.to_string(), "text"),
+                        }
+                    }
+                }
+            },
+        }
+    }
+    if named.len() != 3 {
+        s.out.push(Trouble::Seeds { at: "/seeds".into(), is: named.len() });
+    }
+    let mut o: Vec<SocketAddr> = Vec::new();
+    for (at, t) in named {
+        if let Some(a) = s.addr_of(&at, &t) {
+            if o.contains(&a) {
+                s.out.push(Trouble::Twice { at });
+            } else {
+                o.push(a);
+            }
+        }
+    }
+    o
+}
+
+/// A folder that can be written, or one that can be made.
+fn folder(p: &Path) -> Result<PathBuf, String> {
+    let shown = p.display();
+    if !p.exists() {
+        let up = p.parent().filter(|x| !x.as_os_str().is_empty()).unwrap_or(Path::new("."));
+        return if up.is_dir() {
+            Ok(p.to_owned())
+        } else {
+            Err(format!("{shown} does not exist and neither does the folder above it; create one"))
+        };
+    }
+    if !p.is_dir() {
+        return Err(format!("{shown} is no folder; name one"));
+    }
+    let t = p.join(".usher-write");
+    match std::fs::write(&t, b"x").and_then(|()| std::fs::remove_file(&t)) {
+        Ok(()) => Ok(p.to_owned()),
+        Err(e) => Err(format!("{shown} can't be written: {e}; mend its rights or its disk")),
+    }
+}
--- /dev/null
+++ b/crates/usher/src/link/mod.rs
@@ -0,0 +1,17 @@
+mod inn;
+mod out;
+
+pub use inn::listen;
+pub use out::Links;
+
+use std::sync::atomic::AtomicU64;
+
+/// Counters of the links between nodes.
+#[derive(Debug, Default)]
+pub struct Tally {
+    pub bytes_out: AtomicU64,
+    pub bytes_far: AtomicU64,
+    pub garbled: AtomicU64,
+    pub dropped: AtomicU64,
+    pub connects: AtomicU64,
+}
