Simulator: the node stepped in virtual time under faults, judged from outside

Change: an ask for a new term says so and needs a new epoch; ballots carry the core's life; counters begin at a drawn number; frames name their addressee; a voter does not vouch for a window older than one it knows; a holder no longer takes over an epoch that a refusal names. Also: a word that a window is spent rests on a poll begun after the ask, and duties fall to the next core by the term's own end, not by gossip. Ruled out: slices lost by fronts (their windows are counted as spent, by design).

--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,3 @@
+//! Development only: the simulator, the stand-ins and the fleet on one machine.
+
+pub mod sim;
--- /dev/null
+++ b/crates/rehearsal/src/sim/drive.rs
@@ -0,0 +1,354 @@
+use super::check::Breach;
+use super::faults::{Fault, Profile};
+use super::ops::{Ops, quotas};
+use super::world::World;
+use seating::base::{MS, SEC, Us};
+
+#[derive(Clone, Copy, Debug)]
+pub struct Run {
+    pub seed: u64,
+    pub profile: &'static Profile,
+    pub cores: usize,
+    pub fronts: usize,
+    pub workers: usize,
+    /// How likely a tenant has a call in each ten milliseconds.
+    pub load: u64,
+}
+
+impl Run {
+    pub fn new(seed: u64, profile: &'static Profile) -> Self {
+        Run { seed, profile, cores: 3, fronts: 6, workers: 6, load: 45 }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+pub struct Summary {
+    pub breaches: Vec<Breach>,
+    pub versions: u64,
+    pub done: u64,
+    pub stale: u64,
+    pub unknown: u64,
+    pub none: u64,
+    pub calls: u64,
+    pub taken: u64,
+    pub spent: u64,
+    pub waited: u64,
+    pub unsettled: u64,
+    pub spread: Vec<Us>,
+    pub held: Vec<Us>,
+    pub recovered: Option<Us>,
+    pub frames: u64,
+    pub bytes: u64,
+    pub trace: Vec<String>,
+}
+
+struct Down {
+    slot: usize,
+    at: Us,
+    swap: bool,
+}
+
+/// One run from a seed: faults, then healing, then what must hold again.
+pub fn run(r: Run) -> Summary {
+    let mut w = World::new(r.seed, r.cores, r.fronts, r.workers);
+    let mut o = Ops::default();
+    let mut downs: Vec<Down> = Vec::new();
+    let mut swap: Option<usize> = None;
+    let begin = w.now;
+    let end = begin + r.profile.secs * SEC;
+    let mut next = begin + 4 * SEC;
+    let mut last = begin;
+    let mut dt: Vec<(usize, Us)> = Vec::new();
+    while w.now < end + 14 * SEC {
+        let t = w.now + 10 * MS;
+        w.run(t);
+        w.report();
+        let calm = w.now >= end;
+        if calm {
+            w.cuts.clear();
+            w.loss = (0, 0);
+            for s in &mut w.slots {
+                s.frozen = s.frozen.min(t);
+                s.disk.stuck = 0;
+                s.disk.slow = 0;
+            }
+            for x in &mut w.workers {
+                x.up = true;
+                if x.drain {
+                    x.drain = false;
+                    x.inc += 1;
+                    x.seq = 0;
+                }
+            }
+            w.check.gone.clear();
+        }
+        let now = w.now;
+        downs.retain(|d| {
+            let back = d.at <= now || calm;
+            if back {
+                w.start(d.slot);
+                w.say(format!("back {}", w.slots[d.slot].addr));
+                if d.swap {
+                    swap = Some(d.slot);
+                }
+            }
+            !back
+        });
+        if let Some(i) = swap
+            && now % (500 * MS) < 10 * MS
+            && (w.slots[i].node.is_none() || o.replace(&mut w, i))
+            && w.slots[i].node.is_some()
+        {
+            w.say(format!("admitted {}", w.slots[i].addr));
+            swap = None;
+        }
+        if !calm && now >= next {
+            next = now + 200 * MS + w.rng.below(4 * SEC);
+            if let Some((f, d)) = r.profile.pick(&mut w.rng) {
+                fault(&mut w, f, d, &mut downs, swap.is_some(), &mut dt);
+            }
+        }
+        dt.retain(|(k, at)| {
+            if *at <= now {
+                let x = &mut w.workers[*k];
+                x.up = true;
+                x.drain = false;
+                x.inc += 1;
+                x.seq = 0;
+                let id = x.id.clone();
+                w.check.gone.remove(&id);
+            }
+            *at > now
+        });
+        if now > begin + 3 * SEC && w.rng.below(1000) < r.profile.changes {
+            o.change(&mut w);
+            if r.profile.name == "races" {
+                o.change(&mut w);
+            }
+        }
+        o.answers(&mut w);
+        o.calls(&mut w, r.load);
+        if now - last >= 50 * MS {
+            last = now;
+            sample(&mut w);
+            o.spread(&w);
+        }
+    }
+    let rec = recover(&mut w, &mut o, end);
+    w.check.end(&quotas());
+    Summary {
+        breaches: w.check.breaches.clone(),
+        versions: w.check.chosen.keys().next_back().copied().unwrap_or(0),
+        done: o.done,
+        stale: o.stale,
+        unknown: o.unknown,
+        none: o.none,
+        calls: o.calls,
+        taken: o.taken,
+        spent: o.spent,
+        waited: o.waited,
+        unsettled: o.unsettled,
+        spread: o.lag,
+        held: o.held,
+        recovered: rec,
+        frames: w.frames,
+        bytes: w.bytes,
+        trace: w.trace,
+    }
+}
+
+/// What each node would do with a call at this moment.
+fn sample(w: &mut World) {
+    let now = w.now;
+    for i in 0..w.slots.len() {
+        if !w.alive(i) {
+            continue;
+        }
+        let s = &w.slots[i];
+        let Some(n) = &s.node else { continue };
+        if !n.is_fresh(now + s.off) {
+            continue;
+        }
+        let ws: Vec<_> = n.news.live(now + s.off).map(|r| (r.wid.clone(), r.inc)).collect();
+        let v = n.ver().unwrap_or(0);
+        let a = s.addr.clone();
+        w.check.admits(&a, v, now);
+        for (id, inc) in ws {
+            let cur = w.workers.iter().find(|x| x.id == id).map_or(0, |x| x.inc);
+            if inc == cur {
+                w.check.routes(&a, &id, now);
+            }
+        }
+    }
+}
+
+/// Twelve seconds after the last fault all must serve again.
+fn recover(w: &mut World, o: &mut Ops, end: Us) -> Option<Us> {
+    let bad: Vec<_> = (0..w.slots.len())
+        .filter(|i| {
+            let s = &w.slots[*i];
+            s.node.as_ref().is_none_or(|n| !n.is_fresh(w.now + s.off))
+        })
+        .map(|i| w.slots[i].addr.clone())
+        .collect();
+    if !bad.is_empty() {
+        w.check.breaches.push(Breach(format!("not fresh 14 s after the last fault: {bad:?}")));
+        return None;
+    }
+    let vs: std::collections::BTreeSet<_> = w.slots.iter().filter_map(|s| s.node.as_ref().map(|n| n.ver())).collect();
+    if vs.len() > 1 && o.lag.is_empty() {
+        w.check.breaches.push(Breach(format!("different versions at the end: {vs:?}")));
+    }
+    let acked = w.check.acks.iter().map(|a| a.ver).max();
+    if acked > vs.iter().next_back().copied().flatten() {
+        w.check.breaches.push(Breach("an acknowledged version is lost at the end".into()));
+    }
+    let before = o.done;
+    let at = w.now;
+    for _ in 0..40 {
+        o.change(w);
+        let t = w.now + 250 * MS;
+        w.run(t);
+        w.report();
+        o.answers(w);
+        if o.done > before {
+            break;
+        }
+    }
+    if o.done == before {
+        w.check.breaches.push(Breach("no change is accepted after the last fault".into()));
+        return None;
+    }
+    let taken = o.taken;
+    for _ in 0..100 {
+        let t = w.now + 10 * MS;
+        w.run(t);
+        w.report();
+        o.calls(w, 50);
+    }
+    if o.taken == taken {
+        w.check.breaches.push(Breach("no unit of any quota is given after the last fault".into()));
+    }
+    Some(at.max(end) - end)
+}
+
+fn some(w: &mut World, f: impl Fn(&World, usize) -> bool) -> Option<usize> {
+    let v: Vec<_> = (0..w.slots.len()).filter(|i| f(w, *i)).collect();
+    if v.is_empty() { None } else { Some(v[usize::try_from(w.rng.below(v.len() as u64)).unwrap_or(0)]) }
+}
+
+fn fault(w: &mut World, f: Fault, d: Us, downs: &mut Vec<Down>, busy: bool, dt: &mut Vec<(usize, Us)>) {
+    let now = w.now;
+    let up = |w: &World, i: usize| w.slots[i].node.is_some();
+    match f {
+        Fault::KillCore | Fault::KillFront => {
+            let core = f == Fault::KillCore;
+            if let Some(i) = some(w, |w, i| up(w, i) && w.slots[i].core == core) {
+                w.say(format!("kill {}", w.slots[i].addr));
+                w.kill(i);
+                downs.push(Down { slot: i, at: now + d / 2, swap: false });
+            }
+        }
+        Fault::KillMany => {
+            w.say("kill many".into());
+            for i in 0..w.slots.len() {
+                if up(w, i) && w.rng.chance(60) {
+                    w.kill(i);
+                    let t = w.rng.below(SEC);
+                    downs.push(Down { slot: i, at: now + d / 3 + t, swap: false });
+                }
+            }
+        }
+        Fault::WipeCore => {
+            let whole = downs.is_empty() && !busy;
+            let n = w.slots.iter().filter(|s| s.core && s.node.as_ref().is_some_and(|n| n.voter())).count();
+            if whole
+                && n >= 3
+                && let Some(i) = some(w, |w, i| up(w, i) && w.slots[i].core)
+            {
+                w.say(format!("lose the disk of {}", w.slots[i].addr));
+                w.wipe(i);
+                downs.push(Down { slot: i, at: now + d / 2, swap: true });
+            }
+        }
+        Fault::CutNode | Fault::CutCore => {
+            let core = f == Fault::CutCore;
+            if let Some(i) = some(w, |w, i| !core || w.slots[i].core) {
+                w.say(format!("cut off {} for {d}", w.slots[i].addr));
+                for j in 0..w.slots.len() {
+                    w.cuts.insert((i, j), now + d);
+                    w.cuts.insert((j, i), now + d);
+                }
+            }
+        }
+        Fault::SplitCores => {
+            w.say(format!("split for {d}"));
+            let side: Vec<bool> = (0..w.slots.len()).map(|_| w.rng.chance(50)).collect();
+            for i in 0..side.len() {
+                for j in 0..side.len() {
+                    if side[i] != side[j] {
+                        w.cuts.insert((i, j), now + d);
+                    }
+                }
+            }
+        }
+        Fault::OneWay => {
+            if let Some(i) = some(w, |_, _| true) {
+                w.say(format!("nothing comes from {} for {d}", w.slots[i].addr));
+                for j in 0..w.slots.len() {
+                    w.cuts.insert((i, j), now + d);
+                }
+            }
+        }
+        Fault::Freeze | Fault::FreezeCore => {
+            let core = f == Fault::FreezeCore;
+            if let Some(i) = some(w, |w, i| up(w, i) && w.slots[i].core == core) {
+                w.say(format!("freeze {} for {d}", w.slots[i].addr));
+                w.slots[i].frozen = now + d;
+            }
+        }
+        Fault::SlowDisk | Fault::StallDisk => {
+            if let Some(i) = some(w, |w, i| w.slots[i].core) {
+                w.say(format!("{f:?} {} for {d}", w.slots[i].addr));
+                if f == Fault::SlowDisk {
+                    w.slots[i].disk.slow = now + d;
+                } else {
+                    w.slots[i].disk.stuck = now + d;
+                }
+            }
+        }
+        Fault::Zone => {
+            let z = format!("z{}", w.rng.below(3));
+            w.say(format!("zone {z} apart for {d}"));
+            for i in 0..w.slots.len() {
+                for j in 0..w.slots.len() {
+                    if (w.slots[i].zone == z) != (w.slots[j].zone == z) {
+                        w.cuts.insert((i, j), now + d);
+                    }
+                }
+            }
+        }
+        Fault::Lossy => {
+            w.say(format!("one frame in ten lost for {d}"));
+            w.loss = (10, now + d);
+        }
+        Fault::Workers => {
+            let k = usize::try_from(w.rng.below(w.workers.len() as u64)).unwrap_or(0);
+            if dt.iter().any(|x| x.0 == k) {
+                return;
+            }
+            let drain = w.rng.chance(50);
+            let x = &mut w.workers[k];
+            if drain {
+                x.drain = true;
+                x.due = now;
+            } else {
+                x.up = false;
+            }
+            let id = x.id.clone();
+            w.say(format!("worker {id} {}", if drain { "drains" } else { "vanishes" }));
+            w.check.gone.insert(id, now);
+            dt.push((k, now + 3 * SEC + d));
+        }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/sim/faults.rs
@@ -0,0 +1,72 @@
+use seating::base::{MS, Rng, SEC, Us};
+
+/// What may go wrong; the places and times are drawn from the seed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    KillCore,
+    KillFront,
+    KillMany,
+    CutNode,
+    CutCore,
+    SplitCores,
+    OneWay,
+    Freeze,
+    FreezeCore,
+    SlowDisk,
+    StallDisk,
+    WipeCore,
+    Zone,
+    Lossy,
+    Workers,
+}
+
+#[derive(Clone, Copy, Debug)]
+pub struct Profile {
+    pub name: &'static str,
+    pub faults: &'static [Fault],
+    pub secs: u64,
+    /// Changes that operators ask for in ten seconds.
+    pub changes: u64,
+}
+
+use Fault::{
+    CutCore, CutNode, Freeze, FreezeCore, KillCore, KillFront, KillMany, Lossy, OneWay, SlowDisk, SplitCores,
+    StallDisk, WipeCore, Workers, Zone,
+};
+
+impl Profile {
+    pub const ALL: &'static [Profile] = &[
+        Profile { name: "calm", faults: &[], secs: 30, changes: 8 },
+        Profile { name: "races", faults: &[], secs: 30, changes: 120 },
+        Profile { name: "kills", faults: &[KillCore, KillFront], secs: 60, changes: 20 },
+        Profile { name: "power", faults: &[KillMany, KillCore, SlowDisk], secs: 60, changes: 30 },
+        Profile { name: "cuts", faults: &[CutNode, CutCore, OneWay, SplitCores], secs: 60, changes: 20 },
+        Profile { name: "freezes", faults: &[Freeze, FreezeCore], secs: 60, changes: 20 },
+        Profile { name: "disks", faults: &[SlowDisk, StallDisk], secs: 60, changes: 30 },
+        Profile { name: "wiped", faults: &[WipeCore], secs: 90, changes: 15 },
+        Profile { name: "zones", faults: &[Zone, Lossy], secs: 60, changes: 15 },
+        Profile { name: "workers", faults: &[Workers, KillFront, Freeze], secs: 60, changes: 5 },
+        Profile {
+            name: "storm",
+            faults: &[
+                KillCore, KillFront, KillMany, CutNode, CutCore, SplitCores, OneWay, Freeze, FreezeCore, SlowDisk,
+                StallDisk, WipeCore, Zone, Lossy, Workers,
+            ],
+            secs: 90,
+            changes: 40,
+        },
+    ];
+
+    pub fn named(n: &str) -> Option<&'static Profile> {
+        Self::ALL.iter().find(|p| p.name == n)
+    }
+
+    pub fn pick(&self, r: &mut Rng) -> Option<(Fault, Us)> {
+        let n = self.faults.len() as u64;
+        if n == 0 {
+            return None;
+        }
+        let f = self.faults[usize::try_from(r.below(n)).unwrap_or(0)];
+        Some((f, 300 * MS + r.below(7 * SEC)))
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/sim/world.rs
@@ -0,0 +1,328 @@
+use super::check::Check;
+use super::disk::Disk;
+use seating::base::{MS, Nid, Rng, SEC, Us, Ver};
+use seating::node::{Effect, Event, Me, Node};
+use seating::peer::{Fate, Frame, Row, pack, unpack};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
+
+/// One machine and the process on it.
+pub struct Slot {
+    pub addr: String,
+    pub zone: String,
+    pub core: bool,
+    pub node: Option<Node>,
+    pub disk: Disk,
+    pub life: u64,
+    /// This machine's clock against true time.
+    pub off: Us,
+    pub frozen: Us,
+    pub shown: Option<Ver>,
+    pub wakes: BTreeSet<String>,
+}
+
+#[derive(Debug)]
+pub enum Happen {
+    Tick(usize, u64),
+    Frame(usize, Vec<u8>),
+    Land(usize, u64),
+}
+
+pub struct Worker {
+    pub id: String,
+    pub zone: String,
+    pub inc: u64,
+    pub seq: u64,
+    pub up: bool,
+    pub drain: bool,
+    pub due: Us,
+}
+
+/// Machines, wires, disks and what happens next, all drawn from one seed.
+pub struct World {
+    pub now: Us,
+    pub rng: Rng,
+    pub slots: Vec<Slot>,
+    pub workers: Vec<Worker>,
+    pub check: Check,
+    pub answers: Vec<(u64, Fate)>,
+    /// Pairs of machines between which nothing passes, until when.
+    pub cuts: BTreeMap<(usize, usize), Us>,
+    pub loss: (u64, Us),
+    pub frames: u64,
+    pub bytes: u64,
+    pub trace: Vec<String>,
+    heap: BinaryHeap<Reverse<(Us, u64, usize)>>,
+    what: BTreeMap<u64, Happen>,
+    n: u64,
+    next_ip: u32,
+}
+
+pub const TICK: Us = 25 * MS;
+
+impl World {
+    pub fn new(seed: u64, cores: usize, fronts: usize, workers: usize) -> Self {
+        let mut w = World {
+            now: SEC,
+            rng: Rng::new(seed),
+            slots: Vec::new(),
+            workers: Vec::new(),
+            check: Check::default(),
+            answers: Vec::new(),
+            cuts: BTreeMap::new(),
+            loss: (0, 0),
+            frames: 0,
+            bytes: 0,
+            trace: Vec::new(),
+            heap: BinaryHeap::new(),
+            what: BTreeMap::new(),
+            n: 0,
+            next_ip: 1,
+        };
+        for i in 0..cores + fronts {
+            let addr = w.address();
+            let off = w.rng.below(1_000 * SEC);
+            w.slots.push(Slot {
+                addr,
+                zone: format!("z{}", i % 3),
+                core: i < cores,
+                node: None,
+                disk: Disk::default(),
+                life: 0,
+                off,
+                frozen: 0,
+                shown: None,
+                wakes: BTreeSet::new(),
+            });
+        }
+        for i in 0..workers {
+            let due = w.now + w.rng.below(500 * MS);
+            w.workers.push(Worker {
+                id: format!("w{i}"),
+                zone: format!("z{}", i % 3),
+                inc: 1,
+                seq: 0,
+                up: true,
+                drain: false,
+                due,
+            });
+        }
+        for i in 0..w.slots.len() {
+            w.start(i);
+        }
+        w
+    }
+
+    pub fn address(&mut self) -> String {
+        self.next_ip += 1;
+        format!("10.0.{}.{}:7000", self.next_ip / 250, self.next_ip % 250 + 1)
+    }
+
+    pub fn say(&mut self, s: String) {
+        self.trace.push(format!("{:>10.3} {s}", self.now as f64 / 1e6));
+    }
+
+    fn seeds(&self) -> Vec<String> {
+        self.slots.iter().filter(|s| s.core).take(3).map(|s| s.addr.clone()).collect()
+    }
+
+    pub fn start(&mut self, i: usize) {
+        let seeds = self.seeds();
+        let seed = self.rng.draw();
+        let fresh = Nid(self.rng.draw().max(1));
+        let now = self.now;
+        let s = &mut self.slots[i];
+        s.life += 1;
+        if s.core && s.disk.kept.nid == Nid::default() {
+            s.disk.kept.nid = fresh;
+        }
+        let nid = if s.core { s.disk.kept.nid } else { fresh };
+        let me = Me {
+            nid,
+            inc: s.life,
+            addr: s.addr.clone(),
+            admin: String::new(),
+            zone: s.zone.clone(),
+            seeds,
+            core: s.core,
+        };
+        s.frozen = 0;
+        s.shown = None;
+        let kept = if s.core { s.disk.kept.clone() } else { Default::default() };
+        s.node = Some(Node::new(me, &kept, seed, now + s.off));
+        let life = s.life;
+        let d = self.rng.below(TICK);
+        self.push(now + d, Happen::Tick(i, life));
+    }
+
+    pub fn kill(&mut self, i: usize) {
+        self.slots[i].node = None;
+        let r = &mut self.rng;
+        self.slots[i].disk.cut(r);
+    }
+
+    /// The machine is lost with its disk; an empty one comes at a new address.
+    pub fn wipe(&mut self, i: usize) {
+        self.kill(i);
+        let a = self.address();
+        let s = &mut self.slots[i];
+        s.disk = Disk::default();
+        s.addr = a;
+    }
+
+    fn push(&mut self, at: Us, h: Happen) {
+        self.n += 1;
+        self.what.insert(self.n, h);
+        self.heap.push(Reverse((at, self.n, 0)));
+    }
+
+    pub fn slot_of(&self, addr: &str) -> Option<usize> {
+        self.slots.iter().position(|s| s.addr == addr)
+    }
+
+    pub fn alive(&self, i: usize) -> bool {
+        self.slots[i].node.is_some() && self.slots[i].frozen <= self.now
+    }
+
+    fn cut(&self, a: usize, b: usize) -> bool {
+        self.cuts.get(&(a, b)).is_some_and(|t| *t > self.now)
+    }
+
+    /// Gives one event to a node and carries its effects out.
+    pub fn step(&mut self, i: usize, e: Event) {
+        let now = self.now;
+        let s = &mut self.slots[i];
+        let Some(n) = s.node.as_mut() else { return };
+        let es = n.step(e, now + s.off);
+        for e in es {
+            self.carry(i, e);
+        }
+        let s = &mut self.slots[i];
+        if let Some(n) = &s.node {
+            let v = n.ver();
+            if v != s.shown {
+                if let (Some(a), Some(b)) = (s.shown, v) {
+                    self.check.moves(&s.addr, a, b, now);
+                }
+                s.shown = v;
+                let ds: Vec<_> = n.agree.hist.values().cloned().collect();
+                for d in ds {
+                    self.check.holds(&s.addr, &d, now);
+                }
+            }
+        }
+    }
+
+    fn carry(&mut self, i: usize, e: Effect) {
+        match e {
+            Effect::Send { to, frame } => self.send(i, &to, *frame),
+            Effect::Write { tok, ops } => {
+                let now = self.now;
+                let at = self.slots[i].disk.write(tok, ops, now, &mut self.rng);
+                let life = self.slots[i].life;
+                self.push(at, Happen::Land(i, life));
+            }
+            Effect::Answer { req, fate } => self.answers.push((req, fate)),
+            Effect::Wake { tenant } => {
+                self.slots[i].wakes.insert(tenant);
+            }
+            Effect::Show(_) => {}
+        }
+    }
+
+    fn send(&mut self, i: usize, to: &str, f: Frame) {
+        let Some(j) = self.slot_of(to) else { return };
+        let Ok(b) = pack(&f) else { return };
+        self.frames += 1;
+        self.bytes += b.len() as u64;
+        let lossy = self.loss.1 > self.now && self.rng.chance(self.loss.0);
+        if self.cut(i, j) || lossy {
+            return;
+        }
+        let near = self.slots[i].zone == self.slots[j].zone;
+        let lat = if near { 100 + self.rng.below(400) } else { 500 + self.rng.below(2_000) };
+        let jam = if self.rng.chance(1) { self.rng.below(200 * MS) } else { 0 };
+        self.push(self.now + lat + jam, Happen::Frame(j, b));
+    }
+
+    /// Runs the world on until `until`.
+    pub fn run(&mut self, until: Us) {
+        while let Some(Reverse((at, n, _))) = self.heap.peek().copied() {
+            if at > until {
+                break;
+            }
+            self.heap.pop();
+            self.now = self.now.max(at);
+            let Some(h) = self.what.remove(&n) else { continue };
+            let i = match &h {
+                Happen::Tick(i, _) | Happen::Frame(i, _) | Happen::Land(i, _) => *i,
+            };
+            if self.slots[i].node.is_some() && self.slots[i].frozen > self.now {
+                // A frozen machine finds it all waiting when it wakes.
+                let t = self.slots[i].frozen;
+                self.push(t, h);
+                continue;
+            }
+            match h {
+                Happen::Tick(i, life) => {
+                    if self.slots[i].life == life && self.slots[i].node.is_some() {
+                        self.step(i, Event::Tick);
+                        self.push(self.now + TICK, Happen::Tick(i, life));
+                    }
+                }
+                Happen::Frame(i, b) => {
+                    if let Ok(f) = unpack(&b) {
+                        self.step(i, Event::Frame(Box::new(f)));
+                    }
+                }
+                Happen::Land(i, life) => {
+                    if self.slots[i].life == life && self.slots[i].node.is_some() {
+                        let now = self.now;
+                        if let Some(t) = self.slots[i].disk.land(now) {
+                            self.step(i, Event::Synced(t));
+                        }
+                        if let Some(t) = self.slots[i].disk.due() {
+                            self.push(t.max(now + 1), Happen::Land(i, life));
+                        }
+                    }
+                }
+            }
+        }
+        self.now = self.now.max(until);
+    }
+
+    /// Workers report to two nodes of their zone in turn, as the protocol says.
+    pub fn report(&mut self) {
+        let now = self.now;
+        for k in 0..self.workers.len() {
+            if !self.workers[k].up || self.workers[k].due > now {
+                continue;
+            }
+            let w = &mut self.workers[k];
+            w.due = now + 500 * MS;
+            w.seq += 1;
+            let row = Row {
+                wid: w.id.clone(),
+                inc: w.inc,
+                seq: w.seq,
+                addr: format!("10.9.0.{}:80", k + 1),
+                pool: "llm".into(),
+                zone: w.zone.clone(),
+                slots: 8,
+                busy: 0,
+                drain: w.drain,
+                age: 0,
+            };
+            let zone = w.zone.clone();
+            let mut to: Vec<usize> = (0..self.slots.len()).filter(|i| self.slots[*i].zone == zone).collect();
+            let at = usize::try_from(self.rng.below(to.len().max(1) as u64)).unwrap_or(0);
+            to.rotate_left(at);
+            let up: Vec<_> = to.into_iter().filter(|i| self.slots[*i].node.is_some()).take(2).collect();
+            for i in up {
+                if self.alive(i) {
+                    self.step(i, Event::Report(row.clone()));
+                }
+            }
+        }
+    }
+}
--- a/crates/seating/src/node/grants.rs
+++ b/crates/seating/src/node/grants.rs
@@ -13,6 +13,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Asked {
     n: u64,
+    to: Nid,
     at: Us,
     waiting: u64,
     hops: u8,
@@ -39,30 +40,41 @@
         if self.quota(t).is_none() {
             return;
         }
-        let open = self.asks.get(t).is_some_and(|a| !a.idle && now.saturating_sub(a.at) < AGAIN);
-        if open {
-            if let Some(a) = self.asks.get_mut(t) {
+        let mut to = None;
+        if let Some(a) = self.asks.get_mut(t).filter(|a| !a.idle) {
+            if now.saturating_sub(a.at) < AGAIN {
                 a.waiting = a.waiting.max(waiting);
+                return;
             }
-            return;
+            let mute = a.to;
+            self.terms.hint.remove(&duty(t));
+            to = self.after(mute);
         }
-        self.ask_slice(t, waiting, 0, None, now);
+        self.ask_slice(t, waiting, 0, to, now);
+    }
+
+    /// The core after one that does not answer; it knows who holds the duty now.
+    fn after(&self, mute: Nid) -> Option<Nid> {
+        let cs = self.agree.cores();
+        let i = cs.iter().position(|c| c.nid == mute).map_or(0, |i| i + 1);
+        cs.get(i % cs.len().max(1)).map(|c| c.nid)
     }
 
     fn ask_slice(&mut self, t: &str, waiting: u64, hops: u8, to: Option<Nid>, now: Us) {
         let d = duty(t);
-        let hint = self.terms.hint.get(&d).copied().filter(|h| self.ring.alive(*h, now) && self.agree.votes(*h));
-        let Some(to) = to.or(hint).or_else(|| self.nominee(d, now)) else { return };
+        let hint = self.terms.hint.get(&d).copied().filter(|h| self.agree.votes(*h));
+        let Some(to) = to.or(hint).or_else(|| self.ranked(d).first().copied()) else { return };
         let n = self.next();
         let (want, win, ret) = self.slices.want(t, waiting, now);
-        self.asks.insert(t.to_owned(), Asked { n, at: now, waiting: 0, hops, idle: false });
+        self.asks.insert(t.to_owned(), Asked { n, to, at: now, waiting: 0, hops, idle: false });
         self.send(to, Msg::SliceAsk { n, tenant: t.to_owned(), want, win, ret }, now);
     }
 
     pub(super) fn on_slice_ask(&mut self, by: Nid, n: u64, t: &str, want: u64, ret: (u64, u64), now: Us) {
         let d = duty(t);
         if self.terms.holds(d, now).is_none() {
-            let holder = self.terms.hint.get(&d).copied().filter(|h| *h != self.me.nid).unwrap_or_default();
+            let row = self.book.rows.get(&d).filter(|r| r.2 > now && r.0 != self.me.nid);
+            let holder = row.map(|r| r.0).unwrap_or_default();
             self.send(by, Msg::NotHolder { n, tenant: t.to_owned(), holder }, now);
             return;
         }
@@ -179,6 +191,10 @@
         for g in &mut rows {
             g.age = g.age.saturating_add(lag);
         }
+        // An older window can't be kept beside a newer one, so it is not vouched for.
+        if rows.iter().any(|g| self.wins.get(&g.tenant).is_some_and(|w| w.0 > g.win)) {
+            return;
+        }
         rows.retain(|g| self.keep(g, now));
         let then = self.mail(by, Msg::GrantsOk { duty: d, epoch, n }, now);
         let ops = rows.into_iter().map(Op::Grant).collect();
@@ -252,7 +268,7 @@
         if self.terms.hint.get(&d) == Some(&by) {
             self.terms.hint.remove(&d);
         }
-        if holder != Nid::default() && holder != by && self.ring.alive(holder, now) && hops < 3 {
+        if holder != Nid::default() && holder != by && hops < 3 {
             self.terms.hint.insert(d, holder);
             self.ask_slice(t, waiting.max(1), hops + 1, Some(holder), now);
         }
--- a/crates/seating/src/node/io.rs
+++ b/crates/seating/src/node/io.rs
@@ -56,8 +56,8 @@
 }
 
 impl Node {
-    pub(super) fn frame(&self, msg: Msg, now: Us) -> Frame {
-        Frame { from: self.me.nid, inc: self.me.inc, fleet: self.fleet(), sent: now, msg }
+    pub(super) fn frame(&self, to: Nid, msg: Msg, now: Us) -> Frame {
+        Frame { from: self.me.nid, to, inc: self.me.inc, fleet: self.fleet(), sent: now, msg }
     }
 
     pub(super) fn mail(&self, to: Nid, msg: Msg, now: Us) -> Option<Effect> {
@@ -69,7 +69,7 @@
                 None => self.agree.cores().iter().find(|c| c.nid == to)?.addr.clone(),
             }
         };
-        Some(Effect::Send { to: a, frame: Box::new(self.frame(msg, now)) })
+        Some(Effect::Send { to: a, frame: Box::new(self.frame(to, msg, now)) })
     }
 
     pub(super) fn send(&mut self, to: Nid, msg: Msg, now: Us) {
@@ -79,7 +79,7 @@
     }
 
     pub(super) fn send_addr(&mut self, to: &str, msg: Msg, now: Us) {
-        let frame = Box::new(self.frame(msg, now));
+        let frame = Box::new(self.frame(Nid::default(), msg, now));
         self.emit(Effect::Send { to: to.to_owned(), frame });
     }
 
--- a/crates/seating/src/node/mod.rs
+++ b/crates/seating/src/node/mod.rs
@@ -75,6 +75,9 @@
 impl Node {
     pub fn new(me: Me, kept: &Kept, seed: u64, now: Us) -> Self {
         let agree = Agree::new(kept);
+        let mut rng = Rng::new(seed);
+        // Counts of a new life never meet answers to an earlier one.
+        let n = rng.draw() >> 16;
         let plan = agree.last().map(|d| Plan::compile(d.ver, &d.body)).unwrap_or_default();
         let have = agree.ver();
         let ready = kept.ready;
@@ -83,13 +86,13 @@
             wins.insert(g.tenant.clone(), (g.win, now));
         }
         Node {
-            rng: Rng::new(seed),
+            rng,
             agree,
-            fresh: Fresh::default(),
+            fresh: Fresh { seq: n, ..Fresh::default() },
             ring: Ring::default(),
-            news: News::default(),
+            news: News { seq: n, ..News::default() },
             book: Book { quiet: now + TERM, rows: BTreeMap::new(), epochs: kept.epochs.clone() },
-            terms: Terms::default(),
+            terms: Terms { n, ..Terms::default() },
             ledger: Ledger::default(),
             slices: Arc::default(),
             plan: Arc::new(plan),
@@ -107,7 +110,7 @@
             owed: BTreeMap::new(),
             ferries: BTreeMap::new(),
             lag: BTreeMap::new(),
-            n: 0,
+            n,
             tok: 0,
             held: VecDeque::new(),
             back: VecDeque::new(),
--- a/crates/seating/src/node/propose.rs
+++ b/crates/seating/src/node/propose.rs
@@ -122,7 +122,7 @@
     fn lead(&mut self, inst: Ver, now: Us) {
         self.counts.ballots += 1;
         self.agree.round = self.agree.round.max(self.agree.prom.n) + 1;
-        let bal = Ballot { n: self.agree.round, nid: self.me.nid };
+        let bal = Ballot { n: self.agree.round, nid: self.me.nid, life: self.me.inc };
         let due = now + ROUND + self.rng.below(ROUND);
         self.agree.lead =
             Some(Lead { inst, bal, phase: Phase::Prepare, got: BTreeSet::new(), best: None, val: None, due });
--- a/crates/seating/src/node/step.rs
+++ b/crates/seating/src/node/step.rs
@@ -1,5 +1,5 @@
 use super::{Effect, Event, Node};
-use crate::base::{SEC, Us};
+use crate::base::{Nid, SEC, Us};
 use crate::peer::{Frame, Msg};
 
 impl Node {
@@ -46,7 +46,8 @@
     fn take_frame(&mut self, f: Frame, now: Us) {
         self.counts.frames_in += 1;
         let mine = self.fleet();
-        if f.from == self.me.nid || (f.fleet != 0 && mine != 0 && f.fleet != mine) {
+        let other = f.to != Nid::default() && f.to != self.me.nid;
+        if f.from == self.me.nid || other || (f.fleet != 0 && mine != 0 && f.fleet != mine) {
             self.counts.frames_foreign += 1;
             return;
         }
@@ -73,7 +74,7 @@
                 self.on_tell((by, f.inc), (ask, since, stamp), ver, dec, idx, &rows, now);
             }
             Msg::Reports { rows } => self.on_reports(&rows, lag, now),
-            Msg::TermAsk { set, duty, epoch, n } => self.on_term_ask(by, set, duty, epoch, n, now),
+            Msg::TermAsk { set, duty, epoch, n, new } => self.on_term_ask(by, set, (duty, epoch, new), n, now),
             Msg::TermYes { duty, epoch, n, rows } => self.on_term_yes(by, duty, epoch, n, rows, now),
             Msg::TermNo { duty, epoch, n, holder, left } => self.on_term_no(duty, epoch, n, holder, left, now),
             Msg::Grants { set, duty, epoch, n, rows } => self.on_grants(by, set, duty, epoch, n, rows, lag, now),
--- a/crates/seating/src/node/terms.rs
+++ b/crates/seating/src/node/terms.rs
@@ -3,17 +3,25 @@
 use crate::base::{MS, Nid, Us, Ver, rdv};
 use crate::peer::{Grant, Msg};
 use crate::term::{DUTIES, RENEW, Said, TERM, duty};
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 
+const STEP: Us = 150 * MS;
+
 impl Node {
-    /// The core that rendezvous names for a duty among those that live.
-    pub(super) fn nominee(&self, d: u32, now: Us) -> Option<Nid> {
-        self.agree
-            .cores()
-            .iter()
-            .filter(|c| c.nid == self.me.nid || self.ring.alive(c.nid, now))
-            .max_by_key(|c| rdv(c.nid.0, &d.to_le_bytes()))
-            .map(|c| c.nid)
+    /// The cores in the order in which rendezvous nominates them for a duty.
+    pub(super) fn ranked(&self, d: u32) -> Vec<Nid> {
+        let mut v: Vec<_> =
+            self.agree.cores().iter().map(|c| (Reverse(rdv(c.nid.0, &d.to_le_bytes())), c.nid)).collect();
+        v.sort_unstable();
+        v.into_iter().map(|x| x.1).collect()
+    }
+
+    /// A duty that nobody holds falls to the first, and later to the next ones.
+    fn vacant(&self, d: u32, now: Us) -> bool {
+        let Some(rank) = self.ranked(d).iter().position(|n| *n == self.me.nid) else { return false };
+        let since = self.book.rows.get(&d).map_or(self.book.quiet, |r| r.2);
+        now >= since + STEP * rank as u64
     }
 
     pub(super) fn tick_terms(&mut self, now: Us) {
@@ -23,7 +31,7 @@
         self.terms.due = now + 100 * MS;
         for d in 0..DUTIES {
             let held = self.terms.holds(d, now).is_some();
-            if self.leaving || (!held && self.nominee(d, now) != Some(self.me.nid)) {
+            if self.leaving || (!held && !self.vacant(d, now)) {
                 continue;
             }
             let top = self.book.epochs.get(&d).copied().unwrap_or(0);
@@ -36,22 +44,29 @@
                 continue;
             }
             if !held {
-                h.epoch = h.epoch.max(top) + 1;
+                h.epoch = h.epoch.max(h.top).max(top) + 1;
                 h.rows.clear();
                 h.fresh = true;
             }
             h.ask = Some((n, now, BTreeSet::new()));
-            let epoch = h.epoch;
-            let set = self.set();
-            self.cast(&Msg::TermAsk { set, duty: d, epoch, n }, now);
+            let (epoch, new) = (h.epoch, h.fresh);
+            let m = Msg::TermAsk { set: self.set(), duty: d, epoch, n, new };
+            // A vote of its own is given last, so that asking in vain locks nobody out.
+            let me = self.me.nid;
+            let to: Vec<_> = self.agree.cores().iter().map(|c| c.nid).collect();
+            for c in &to {
+                if !new || *c != me || to.len() == 1 {
+                    self.send(*c, m.clone(), now);
+                }
+            }
         }
     }
 
-    pub(super) fn on_term_ask(&mut self, by: Nid, set: Ver, d: u32, epoch: u64, n: u64, now: Us) {
+    pub(super) fn on_term_ask(&mut self, by: Nid, set: Ver, (d, epoch, new): (u32, u64, bool), n: u64, now: Us) {
         if !self.ready() || set != self.set() {
             return;
         }
-        match self.book.ask(d, by, epoch, now) {
+        match self.book.ask(d, by, epoch, new, now) {
             Said::No { epoch, holder, left } => {
                 self.send(by, Msg::TermNo { duty: d, epoch, n, holder, left }, now);
             }
@@ -78,6 +93,12 @@
         got.insert(by);
         h.rows.extend(rows);
         if !majority(&cores, got) {
+            let me = self.me.nid;
+            let mut with = got.clone();
+            if h.fresh && with.insert(me) && majority(&cores, &with) {
+                let set = self.set();
+                self.send(me, Msg::TermAsk { set, duty: d, epoch, n, new: true }, now);
+            }
             return;
         }
         let at = *at;
@@ -104,15 +125,13 @@
             return;
         }
         self.counts.terms_refused += 1;
-        if epoch > h.epoch {
-            h.epoch = epoch;
-        }
+        h.top = h.top.max(epoch);
         if holder != Nid::default() && holder != self.me.nid {
             self.terms.hint.insert(d, holder);
         }
         if !h.holds(now) {
             h.ask = None;
-            h.rest = now + left.clamp(20 * MS, 300 * MS);
+            h.rest = now + left.clamp(20 * MS, TERM);
         }
     }
 }
--- a/crates/seating/src/peer/frame.rs
+++ b/crates/seating/src/peer/frame.rs
@@ -10,6 +10,8 @@
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Frame {
     pub from: Nid,
+    /// Nought where only the address is known.
+    pub to: Nid,
     pub inc: Inc,
     pub fleet: u64,
     pub sent: Us,
--- a/crates/seating/src/peer/msg.rs
+++ b/crates/seating/src/peer/msg.rs
@@ -25,6 +25,8 @@
 pub struct Ballot {
     pub n: u64,
     pub nid: Nid,
+    /// A core that starts anew may not know what it bid before.
+    pub life: Inc,
 }
 
 /// What is known of one node.
@@ -105,7 +107,7 @@
     Ask { seq: u64, ver: Ver, idx: u64, of: Inc, svcs: Vec<String> },
     Tell { ask: u64, since: Us, stamp: Option<Us>, ver: Ver, dec: Option<Decree>, idx: u64, rows: Vec<Row> },
     Reports { rows: Vec<Row> },
-    TermAsk { set: Ver, duty: u32, epoch: u64, n: u64 },
+    TermAsk { set: Ver, duty: u32, epoch: u64, n: u64, new: bool },
     TermYes { duty: u32, epoch: u64, n: u64, rows: Vec<Grant> },
     TermNo { duty: u32, epoch: u64, n: u64, holder: Nid, left: Us },
     Grants { set: Ver, duty: u32, epoch: u64, n: u64, rows: Vec<Grant> },
--- a/crates/seating/src/quota/holder.rs
+++ b/crates/seating/src/quota/holder.rs
@@ -145,7 +145,8 @@
         }
         let done = match &b.polled {
             Some((at, p)) => p.is_empty() || now >= at + POLL,
-            None if now < b.calm => true,
+            // A word that all is spent rests on a poll that began after the ask.
+            None if now < b.calm => false,
             None => {
                 let to: Vec<_> =
                     b.cum.iter().filter(|(n, c)| **c > b.ret.get(n).copied().unwrap_or(0)).map(|x| *x.0).collect();
--- a/crates/seating/src/term/grantor.rs
+++ b/crates/seating/src/term/grantor.rs
@@ -25,7 +25,8 @@
 }
 
 impl Book {
-    pub fn ask(&mut self, duty: u32, from: Nid, epoch: u64, now: Us) -> Said {
+    /// `new` asks for an epoch nobody had; without it a holder keeps its own.
+    pub fn ask(&mut self, duty: u32, from: Nid, epoch: u64, new: bool, now: Us) -> Said {
         let top = self.epochs.get(&duty).copied().unwrap_or(0);
         let cur = self.rows.get(&duty).copied();
         let no = |h: Nid, left: Us| Said::No { epoch: top, holder: h, left };
@@ -35,12 +36,12 @@
         {
             return no(h, (until - now).max(e.min(1)));
         }
-        let renew = cur.is_some_and(|(h, e, _)| h == from && e == epoch) && epoch == top;
+        let renew = !new && cur.is_some_and(|(h, e, _)| h == from && e == epoch) && epoch == top;
         if !renew {
             if now < self.quiet {
                 return no(Nid::default(), self.quiet - now);
             }
-            if epoch <= top {
+            if !new || epoch <= top {
                 return no(Nid::default(), 0);
             }
             self.epochs.insert(duty, epoch);
--- a/crates/seating/src/term/holder.rs
+++ b/crates/seating/src/term/holder.rs
@@ -10,6 +10,8 @@
     pub until: Us,
     pub ask: Option<(u64, Us, BTreeSet<Nid>)>,
     pub rest: Us,
+    /// The highest epoch heard of, to be outbid by the next new one.
+    pub top: u64,
     /// What voters know, gathered until the term is won.
     pub rows: Vec<Grant>,
     pub fresh: bool,
--- a/crates/seating/src/term/mod.rs
+++ b/crates/seating/src/term/mod.rs
@@ -7,7 +7,7 @@
 use crate::base::{MS, Us, hash64};
 
 /// How long a term lasts from the moment that its holder asked for it.
-pub const TERM: Us = 2_000 * MS;
+pub const TERM: Us = 1_500 * MS;
 /// A holder stops this long before its term ends.
 pub const MARGIN: Us = 200 * MS;
 pub const RENEW: Us = 500 * MS;
