--- /dev/null
+++ b/crates/rehearsal/src/fleet/mod.rs
@@ -0,0 +1,11 @@
+//! A whole fleet on loopback, as separate processes, with traffic and faults.
+
+mod judge;
+mod nodes;
+mod report;
+mod script;
+mod traffic;
+
+pub use judge::{Finding, judge};
+pub use nodes::{Fleet, Node, Shape};
+pub use script::{Outcomes, rehearse};
--- /dev/null
+++ b/crates/rehearsal/src/fleet/nodes.rs
@@ -0,0 +1,268 @@
+use crate::standin::{Http, client, text};
+use hyper::Method;
+use seating::base::sha_hex;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::time::{Duration, Instant};
+use tokio::process::{Child, Command};
+
+/// The sizes of a deployment of the brief.
+#[derive(Clone, Copy, Debug)]
+pub struct Shape {
+    pub name: &'static str,
+    pub fronts: usize,
+    pub models: usize,
+    pub apps: usize,
+    pub tenants: usize,
+    /// Quick lookups a second, and calls to the model.
+    pub lookups: u64,
+    pub model_calls: u64,
+}
+
+impl Shape {
+    pub const MTATSMINDA: Shape =
+        Shape { name: "mtatsminda", fronts: 6, models: 20, apps: 3, tenants: 8, lookups: 40, model_calls: 120 };
+    pub const DERWENT: Shape =
+        Shape { name: "derwent", fronts: 9, models: 10, apps: 3, tenants: 8, lookups: 25, model_calls: 60 };
+
+    pub fn named(s: &str) -> Option<Shape> {
+        [Self::MTATSMINDA, Self::DERWENT].into_iter().find(|x| x.name == s)
+    }
+}
+
+#[derive(Debug)]
+pub struct Node {
+    pub ip: String,
+    pub zone: String,
+    pub core: bool,
+    child: Option<Child>,
+    dir: PathBuf,
+}
+
+impl Node {
+    pub fn peer(&self) -> String {
+        format!("{}:7100", self.ip)
+    }
+
+    pub fn admin(&self) -> String {
+        format!("{}:7101", self.ip)
+    }
+
+    pub fn front(&self) -> String {
+        format!("{}:7102", self.ip)
+    }
+
+    pub fn pid(&self) -> Option<i32> {
+        self.child.as_ref().and_then(Child::id).and_then(|p| i32::try_from(p).ok())
+    }
+
+    pub fn up(&self) -> bool {
+        self.child.is_some()
+    }
+}
+
+/// Processes of `usher` and the folder they live in.
+pub struct Fleet {
+    pub nodes: Vec<Node>,
+    pub http: Http,
+    pub net: String,
+    dir: PathBuf,
+    bin: PathBuf,
+}
+
+pub const OPERATOR: (&str, &str) = ("authorization", "Bearer operator-token");
+
+/// The program lies beside this one, or one folder up when tests run.
+fn binary() -> std::io::Result<PathBuf> {
+    let me = std::env::current_exe()?;
+    let mut d = me.parent();
+    while let Some(p) = d {
+        let b = p.join("usher");
+        if b.is_file() {
+            return Ok(b);
+        }
+        d = p.parent();
+    }
+    Err(std::io::Error::other("no program usher beside this one: run cargo build --workspace first"))
+}
+
+impl Fleet {
+    pub fn new(cores: usize, fronts: usize) -> std::io::Result<Fleet> {
+        let (net, dir) = Self::place()?;
+        let nodes = (0..cores + fronts)
+            .map(|i| Node {
+                ip: format!("{net}.{}", i + 1),
+                zone: format!("z{}", i % 3 + 1),
+                core: i < cores,
+                child: None,
+                dir: dir.join(format!("n{i}")),
+            })
+            .collect();
+        Ok(Fleet { nodes, http: client(), net, dir, bin: binary()? })
+    }
+
+    /// A loopback net of its own, so that fleets never meet.
+    fn place() -> std::io::Result<(String, PathBuf)> {
+        let pid = std::process::id();
+        for k in 0..200u32 {
+            let net = format!("127.{}.{}", 20 + (pid / 200 + k) % 200, 1 + (pid + 7 * k) % 200);
+            if std::net::TcpListener::bind(format!("{net}.1:7100")).is_err() {
+                continue;
+            }
+            let dir = std::env::temp_dir().join(format!("rehearsal-{}", net.replace('.', "-")));
+            if std::fs::create_dir(&dir).is_ok() {
+                return Ok((net, dir));
+            }
+            // A folder whose owner left it: nobody listens there any more.
+            if std::fs::remove_dir_all(&dir).is_ok() && std::fs::create_dir(&dir).is_ok() {
+                return Ok((net, dir));
+            }
+        }
+        Err(std::io::Error::other("no free loopback net"))
+    }
+
+    fn env(&self, i: usize) -> String {
+        let n = &self.nodes[i];
+        let seeds: Vec<_> = self.nodes.iter().take(3).map(|n| format!("\"{}\"", n.peer())).collect();
+        let data = if n.core { format!("\"data\":\"{}\",", n.dir.join("data").display()) } else { String::new() };
+        format!(
+            "{{{data}\"zone\":\"{}\",\"peer\":\"{}\",\"admin\":\"{}\",\"downstream\":\"{}\",\"seeds\":[{}],\"operators\":[\"sha256:{}\"],\"workers\":[\"sha256:{}\"],\"notice_ms\":1500,\"grace_ms\":8000}}",
+            n.zone, n.peer(), n.admin(), n.front(), seeds.join(","),
+            sha_hex(b"operator-token"), sha_hex(b"worker-token"),
+        )
+    }
+
+    pub fn start(&mut self, i: usize) -> std::io::Result<()> {
+        let env = self.env(i);
+        let n = &mut self.nodes[i];
+        std::fs::create_dir_all(&n.dir)?;
+        let f = n.dir.join("env.json");
+        std::fs::write(&f, env)?;
+        let log = std::fs::OpenOptions::new().create(true).append(true).open(n.dir.join("log"))?;
+        n.child = Some(
+            Command::new(&self.bin)
+                .arg("--env")
+                .arg(&f)
+                .stdin(Stdio::null())
+                .stdout(Stdio::null())
+                .stderr(log)
+                .kill_on_drop(true)
+                .spawn()?,
+        );
+        Ok(())
+    }
+
+    /// Another machine in the place of one that is lost, with an empty disk.
+    pub fn replace(&mut self, i: usize) {
+        let k = self.nodes.len() + 100;
+        let ip = format!("{}.{}", self.net, k + i);
+        let dir = self.dir.join(format!("n{i}-new-{k}"));
+        self.nodes[i].ip = ip;
+        self.nodes[i].dir = dir;
+    }
+
+    pub fn signal(&self, i: usize, s: i32) {
+        if let Some(p) = self.nodes[i].pid() {
+            // SAFETY: the process is a child of ours that was not waited for.
+            unsafe {
+                libc::kill(p, s);
+            }
+        }
+    }
+
+    pub async fn kill(&mut self, i: usize) {
+        self.signal(i, libc::SIGKILL);
+        self.wait(i).await;
+    }
+
+    pub async fn wait(&mut self, i: usize) -> Option<i32> {
+        let mut c = self.nodes[i].child.take()?;
+        c.wait().await.ok().and_then(|s| s.code())
+    }
+
+    pub fn log(&self, i: usize) -> String {
+        std::fs::read_to_string(self.nodes[i].dir.join("log")).unwrap_or_default()
+    }
+
+    pub fn folder(&self) -> &Path {
+        &self.dir
+    }
+
+    pub async fn ready(&self, i: usize) -> bool {
+        let u = format!("http://{}/readyz", self.nodes[i].front());
+        let r = tokio::time::timeout(Duration::from_secs(1), text(&self.http, Method::GET, &u, &[], "")).await;
+        matches!(r, Ok(Ok((200, _))))
+    }
+
+    /// Waits until every process that should run is ready.
+    pub async fn all_ready(&self, most: Duration) -> Result<Duration, String> {
+        let t = Instant::now();
+        loop {
+            let mut bad = Vec::new();
+            for i in 0..self.nodes.len() {
+                if self.nodes[i].up() && !self.ready(i).await {
+                    bad.push(self.nodes[i].ip.clone());
+                }
+            }
+            if bad.is_empty() {
+                return Ok(t.elapsed());
+            }
+            if t.elapsed() > most {
+                return Err(format!("not ready after {} ms: {bad:?}", t.elapsed().as_millis()));
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+
+    pub async fn admin(&self, i: usize, m: Method, path: &str, more: &[(&str, &str)], body: &str) -> Result<(u16, String), String> {
+        let mut h = vec![OPERATOR];
+        h.extend_from_slice(more);
+        text(&self.http, m, &format!("http://{}{path}", self.nodes[i].admin()), &h, body).await
+    }
+
+    pub async fn metrics(&self, i: usize) -> Vec<(String, u64)> {
+        let Ok((200, s)) = self.admin(i, Method::GET, "/metrics", &[], "").await else { return Vec::new() };
+        s.lines()
+            .filter(|l| !l.starts_with('#'))
+            .filter_map(|l| {
+                let (k, v) = l.split_once(' ')?;
+                Some((k.to_owned(), v.parse().ok()?))
+            })
+            .collect()
+    }
+
+    pub async fn version(&self, i: usize) -> Option<u64> {
+        self.metrics(i).await.into_iter().find(|x| x.0 == "usher_version").map(|x| x.1)
+    }
+
+    /// How long until every running node has at least this version.
+    pub async fn spread(&self, v: u64, most: Duration) -> Result<Duration, String> {
+        let t = Instant::now();
+        loop {
+            let mut bad = Vec::new();
+            for i in 0..self.nodes.len() {
+                if self.nodes[i].up() && self.version(i).await.is_none_or(|x| x < v) {
+                    bad.push(self.nodes[i].ip.clone());
+                }
+            }
+            if bad.is_empty() {
+                return Ok(t.elapsed());
+            }
+            if t.elapsed() > most {
+                return Err(format!("version {v} not in force after {} ms on {bad:?}", t.elapsed().as_millis()));
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for n in &mut self.nodes {
+            n.child = None;
+        }
+        if std::env::var_os("REHEARSAL_KEEP").is_none() {
+            let _ = std::fs::remove_dir_all(&self.dir);
+        }
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,3 +1,5 @@
 //! Development only: the simulator, the stand-ins and the fleet on one machine.
 
+pub mod fleet;
 pub mod sim;
+pub mod standin;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -1,45 +1,107 @@
+use getopts::Options;
+use rehearsal::fleet::{Shape, rehearse};
 use rehearsal::sim::{Profile, Run, run};
 
+const HELP: &str = "rehearsal: tries a sumacvale fleet on this machine
+
+Usage:
+  rehearsal fleet [flags]   processes of usher on loopback, with traffic and troubles
+  rehearsal sim [flags]     the core in virtual time, from seeds";
+
 fn main() {
     let a: Vec<String> = std::env::args().skip(1).collect();
-    let from: u64 = a.first().and_then(|s| s.parse().ok()).unwrap_or(1);
-    let n: u64 = a.get(1).and_then(|s| s.parse().ok()).unwrap_or(5);
-    let only = a.get(2);
+    let mut o = Options::new();
+    o.optopt("", "deployment", "mtatsminda or derwent", "NAME")
+        .optopt("", "seconds", "how long traffic runs", "N")
+        .optopt("", "seed", "the first seed", "N")
+        .optopt("", "seeds", "how many seeds", "N")
+        .optopt("", "profile", "one kind of faults only", "NAME")
+        .optopt("", "scale", "percent of the deployment's traffic", "N")
+        .optopt("", "fronts", "sim: how many fronts", "N")
+        .optflag("", "calm", "fleet: no troubles")
+        .optflag("", "trace", "sim: print what was done to the fleet")
+        .optflag("h", "help", "show this help");
+    let m = match o.parse(&a) {
+        Ok(m) => m,
+        Err(e) => stop(&format!("{e}; see rehearsal --help")),
+    };
+    if m.opt_present("help") || m.free.is_empty() {
+        println!("{}", o.usage(HELP));
+        return;
+    }
+    let num = |k: &str, d: u64| match m.opt_str(k) {
+        None => d,
+        Some(s) => s.parse().unwrap_or_else(|_| stop(&format!("--{k}: {s} is no whole number"))),
+    };
+    let bad = match m.free[0].as_str() {
+        "fleet" => {
+            let n = m.opt_str("deployment").unwrap_or_else(|| "mtatsminda".into());
+            let s = Shape::named(&n).unwrap_or_else(|| stop("--deployment: use mtatsminda or derwent"));
+            fleet(s, num("seconds", 30).clamp(5, 600), num("seed", 1), !m.opt_present("calm"), num("scale", 100).clamp(1, 1000))
+        }
+        "sim" => {
+            let p = m.opt_str("profile");
+            if let Some(p) = &p
+                && Profile::named(p).is_none()
+            {
+                let all: Vec<_> = Profile::ALL.iter().map(|p| p.name).collect();
+                stop(&format!("--profile: use one of {}", all.join(", ")));
+            }
+            sim(num("seed", 1), num("seeds", 5), p.as_deref(), usize::try_from(num("fronts", 6)).unwrap_or(6), m.opt_present("trace"))
+        }
+        w => stop(&format!("{w}: use fleet or sim")),
+    };
+    if bad {
+        std::process::exit(1);
+    }
+}
+
+fn stop(s: &str) -> ! {
+    eprintln!("rehearsal: {s}");
+    std::process::exit(2)
+}
+
+fn fleet(s: Shape, secs: u64, seed: u64, faults: bool, scale: u64) -> bool {
+    let rt = match tokio::runtime::Builder::new_multi_thread().worker_threads(4).enable_all().build() {
+        Ok(r) => r,
+        Err(e) => stop(&e.to_string()),
+    };
+    match rt.block_on(rehearse(s, secs, seed, faults, scale)) {
+        Ok(o) => {
+            o.print();
+            !o.findings.is_empty()
+        }
+        Err(e) => stop(&e),
+    }
+}
+
+fn sim(from: u64, n: u64, only: Option<&str>, fronts: usize, trace: bool) -> bool {
+    let mut bad = false;
     for p in Profile::ALL.iter().filter(|p| only.is_none_or(|o| o == p.name)) {
         for seed in from..from + n {
             let t = std::time::Instant::now();
-            let s = run(Run::new(seed, p));
-            let worst = s.spread.iter().max().copied().unwrap_or(0);
-            let mut h = s.held.clone();
-            h.sort_unstable();
-            let q = |p: usize| h.get(h.len() * p / 100).copied().unwrap_or(0) / 1000;
-            println!("held p50 {} p99 {} ms", q(50), q(99));
+            let s = run(Run { fronts, ..Run::new(seed, p) });
+            let at = |v: &[u64], q: usize| {
+                let mut v = v.to_vec();
+                v.sort_unstable();
+                if v.is_empty() { 0 } else { v[(v.len() - 1) * q / 100] / 1000 }
+            };
             println!(
-                "{:8} seed {seed}: v{} done {} stale {} unknown {} none {} | calls {} taken {} spent {} waited {} unsettled {} | spread worst {} ms | {} frames | {} ms | breaches {}",
-                p.name,
-                s.versions,
-                s.done,
-                s.stale,
-                s.unknown,
-                s.none,
-                s.calls,
-                s.taken,
-                s.spent,
-                s.waited,
-                s.unsettled,
-                worst / 1000,
-                s.frames,
-                t.elapsed().as_millis(),
-                s.breaches.len()
+                "{:8} seed {seed}: version {} done {} stale {} unknown {} none {} | calls {} taken {} spent {} waited {} (p50 {} p99 {} ms) unsettled {} | spread p99 {} worst {} ms | frames {} bytes {} | {} ms | breaches {}",
+                p.name, s.versions, s.done, s.stale, s.unknown, s.none, s.calls, s.taken, s.spent, s.waited,
+                at(&s.held, 50), at(&s.held, 99), s.unsettled, at(&s.spread, 99), at(&s.spread, 100), s.frames, s.bytes,
+                t.elapsed().as_millis(), s.breaches.len()
             );
-            if !s.breaches.is_empty() {
-                for l in s.trace.iter().take(60) {
+            if trace || !s.breaches.is_empty() {
+                for l in &s.trace {
                     println!("    {l}");
                 }
-                for b in s.breaches.iter().take(4) {
-                    println!("    BREACH {}", b.0);
-                }
+            }
+            for b in &s.breaches {
+                println!("    breach: {}", b.0);
+                bad = true;
             }
         }
     }
+    bad
 }
