--- a/crates/rehearsal/src/fleet/judge.rs
+++ b/crates/rehearsal/src/fleet/judge.rs
@@ -20,7 +20,11 @@
             Seen::Wrong(w) => out.push(Finding(w.clone())),
             Seen::Whole if rs.is_empty() => out.push(Finding(format!("{}: a success that no worker ran", o.call))),
             Seen::Refused { ran, code, status, .. } if ran == "no" && !rs.is_empty() => {
-                out.push(Finding(format!("{}: refused as not run ({status} {code}) and ran {} times", o.call, rs.len())));
+                out.push(Finding(format!(
+                    "{}: refused as not run ({status} {code}) and ran {} times",
+                    o.call,
+                    rs.len()
+                )));
             }
             Seen::Refused { status: 429 | 503, back: false, code, .. } => {
                 out.push(Finding(format!("{}: refused ({code}) without a time to return", o.call)));
--- a/crates/rehearsal/src/fleet/nodes.rs
+++ b/crates/rehearsal/src/fleet/nodes.rs
@@ -127,8 +127,13 @@
         let data = if n.core { format!("\"data\":\"{}\",", n.dir.join("data").display()) } else { String::new() };
         format!(
             "{{{data}\"zone\":\"{}\",\"peer\":\"{}\",\"admin\":\"{}\",\"downstream\":\"{}\",\"seeds\":[{}],\"operators\":[\"sha256:{}\"],\"workers\":[\"sha256:{}\"],\"notice_ms\":1500,\"grace_ms\":8000}}",
-            n.zone, n.peer(), n.admin(), n.front(), seeds.join(","),
-            sha_hex(b"operator-token"), sha_hex(b"worker-token"),
+            n.zone,
+            n.peer(),
+            n.admin(),
+            n.front(),
+            seeds.join(","),
+            sha_hex(b"operator-token"),
+            sha_hex(b"worker-token"),
         )
     }
 
@@ -214,7 +219,14 @@
         }
     }
 
-    pub async fn admin(&self, i: usize, m: Method, path: &str, more: &[(&str, &str)], body: &str) -> Result<(u16, String), String> {
+    pub async fn admin(
+        &self,
+        i: usize,
+        m: Method,
+        path: &str,
+        more: &[(&str, &str)],
+        body: &str,
+    ) -> Result<(u16, String), String> {
         let mut h = vec![OPERATOR];
         h.extend_from_slice(more);
         text(&self.http, m, &format!("http://{}{path}", self.nodes[i].admin()), &h, body).await
--- a/crates/rehearsal/src/fleet/script.rs
+++ b/crates/rehearsal/src/fleet/script.rs
@@ -27,7 +27,14 @@
         let tag = format!("\"{v}\"");
         let (s, b) = f.admin(i, Method::PUT, "/v1/config", &[("if-match", tag.as_str())], body).await?;
         match s {
-            200 => return b.split("\"version\":").nth(1).and_then(|s| s.split(',').next()).and_then(|s| s.parse().ok()).ok_or(b),
+            200 => {
+                return b
+                    .split("\"version\":")
+                    .nth(1)
+                    .and_then(|s| s.split(',').next())
+                    .and_then(|s| s.parse().ok())
+                    .ok_or(b);
+            }
             412 | 503 => tokio::time::sleep(Duration::from_millis(50)).await,
             _ => return Err(format!("{s} {b}")),
         }
@@ -176,7 +183,13 @@
     let key = key(lost);
     if faults {
         for i in 3..f.nodes.len() {
-            let c = Caller { http: f.http.clone(), kind: "lookup", path: "/v1/confirm", tenant: format!("t{lost}"), key: key.clone() };
+            let c = Caller {
+                http: f.http.clone(),
+                kind: "lookup",
+                path: "/v1/confirm",
+                tenant: format!("t{lost}"),
+                key: key.clone(),
+            };
             let o = c.call(&f.nodes[i].front(), &format!("late-{i}"), "x").await;
             if !matches!(&o.seen, Seen::Refused { status: 401 | 503, .. }) {
                 findings.push(Finding(format!("a withdrawn key got {:?} from {}", o.seen, o.front)));
--- a/crates/rehearsal/src/fleet/traffic.rs
+++ b/crates/rehearsal/src/fleet/traffic.rs
@@ -17,7 +17,8 @@
 pub fn tree(s: Shape, extra: usize, without: &[usize]) -> String {
     let ts: Vec<_> = (0..s.tenants)
         .map(|i| {
-            let ks = if without.contains(&i) { String::new() } else { format!("\"sha256:{}\"", sha_hex(key(i).as_bytes())) };
+            let ks =
+                if without.contains(&i) { String::new() } else { format!("\"sha256:{}\"", sha_hex(key(i).as_bytes())) };
             let w = if i < 2 { 3 } else { 1 };
             format!("\"t{i}\":{{\"keys\":[{ks}],\"weight\":{w}}}")
         })
@@ -48,7 +49,15 @@
 pub type Done = Arc<Mutex<Vec<Outcome>>>;
 
 /// Sends calls at the deployment's rates until told to stop, then awaits them.
-pub async fn drive(s: Shape, http: Http, fronts: Fronts, seed: u64, mut stop: watch::Receiver<bool>, done: Done, scale: u64) {
+pub async fn drive(
+    s: Shape,
+    http: Http,
+    fronts: Fronts,
+    seed: u64,
+    mut stop: watch::Receiver<bool>,
+    done: Done,
+    scale: u64,
+) {
     let mut r = Rng::new(seed);
     let mut t = tokio::time::interval(Duration::from_millis(10));
     t.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -37,7 +37,13 @@
         "fleet" => {
             let n = m.opt_str("deployment").unwrap_or_else(|| "mtatsminda".into());
             let s = Shape::named(&n).unwrap_or_else(|| stop("--deployment: use mtatsminda or derwent"));
-            fleet(s, num("seconds", 30).clamp(5, 600), num("seed", 1), !m.opt_present("calm"), num("scale", 100).clamp(1, 1000))
+            fleet(
+                s,
+                num("seconds", 30).clamp(5, 600),
+                num("seed", 1),
+                !m.opt_present("calm"),
+                num("scale", 100).clamp(1, 1000),
+            )
         }
         "sim" => {
             let p = m.opt_str("profile");
@@ -47,7 +53,13 @@
                 let all: Vec<_> = Profile::ALL.iter().map(|p| p.name).collect();
                 stop(&format!("--profile: use one of {}", all.join(", ")));
             }
-            sim(num("seed", 1), num("seeds", 5), p.as_deref(), usize::try_from(num("fronts", 6)).unwrap_or(6), m.opt_present("trace"))
+            sim(
+                num("seed", 1),
+                num("seeds", 5),
+                p.as_deref(),
+                usize::try_from(num("fronts", 6)).unwrap_or(6),
+                m.opt_present("trace"),
+            )
         }
         w => stop(&format!("{w}: use fleet or sim")),
     };
@@ -88,9 +100,25 @@
             };
             println!(
                 "{:8} seed {seed}: version {} done {} stale {} unknown {} none {} | calls {} taken {} spent {} waited {} (p50 {} p99 {} ms) unsettled {} | spread p99 {} worst {} ms | frames {} bytes {} | {} ms | breaches {}",
-                p.name, s.versions, s.done, s.stale, s.unknown, s.none, s.calls, s.taken, s.spent, s.waited,
-                at(&s.held, 50), at(&s.held, 99), s.unsettled, at(&s.spread, 99), at(&s.spread, 100), s.frames, s.bytes,
-                t.elapsed().as_millis(), s.breaches.len()
+                p.name,
+                s.versions,
+                s.done,
+                s.stale,
+                s.unknown,
+                s.none,
+                s.calls,
+                s.taken,
+                s.spent,
+                s.waited,
+                at(&s.held, 50),
+                at(&s.held, 99),
+                s.unsettled,
+                at(&s.spread, 99),
+                at(&s.spread, 100),
+                s.frames,
+                s.bytes,
+                t.elapsed().as_millis(),
+                s.breaches.len()
             );
             if trace || !s.breaches.is_empty() {
                 for l in &s.trace {
--- a/crates/rehearsal/src/sim/ops.rs
+++ b/crates/rehearsal/src/sim/ops.rs
@@ -60,7 +60,7 @@
     fn send(&mut self, w: &mut World, i: usize, a: Ask) {
         self.n += 1;
         let n = self.n;
-        let e = Event::Put { req: n, cid: a.cid, base: a.base, change: a.change.clone() };
+        let e = Event::Put { req: n, cid: a.cid, fresh: !a.again, base: a.base, change: a.change.clone() };
         self.open.insert(n, a);
         w.step(i, e);
     }
--- a/crates/rehearsal/src/standin/caller.rs
+++ b/crates/rehearsal/src/standin/caller.rs
@@ -64,7 +64,8 @@
             };
             let status = r.status().as_u16();
             let head = |k: &str| r.headers().get(k).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
-            let (sse, ran, back) = (head("content-type") == "text/event-stream", head("x-ran"), !head("retry-after").is_empty());
+            let (sse, ran, back) =
+                (head("content-type") == "text/event-stream", head("x-ran"), !head("retry-after").is_empty());
             let mut body = r.into_body();
             let mut first = at.elapsed();
             let mut buf = String::new();
@@ -74,7 +75,10 @@
                     None => break,
                     Some(Err(_)) => {
                         let n = buf.matches("\n\n").count() as u64;
-                        return (check(id, &buf, sse, false).map_or_else(Seen::Wrong, |()| Seen::Broken { pieces: n }), first);
+                        return (
+                            check(id, &buf, sse, false).map_or_else(Seen::Wrong, |()| Seen::Broken { pieces: n }),
+                            first,
+                        );
                     }
                     Some(Ok(f)) => {
                         if !begun {
--- a/crates/rehearsal/src/standin/http.rs
+++ b/crates/rehearsal/src/standin/http.rs
@@ -36,13 +36,7 @@
 }
 
 /// Status and whole body.
-pub async fn text(
-    c: &Http,
-    m: Method,
-    uri: &str,
-    heads: &[(&str, &str)],
-    body: &str,
-) -> Result<(u16, String), String> {
+pub async fn text(c: &Http, m: Method, uri: &str, heads: &[(&str, &str)], body: &str) -> Result<(u16, String), String> {
     let go = async {
         let r = ask(c, m, uri, heads, body).await?;
         let s = r.status().as_u16();
--- a/crates/rehearsal/src/standin/worker.rs
+++ b/crates/rehearsal/src/standin/worker.rs
@@ -131,7 +131,13 @@
             let n = w.seq.fetch_add(1, Ordering::AcqRel) + 1;
             let b = format!(
                 "{{\"id\":\"{}\",\"incarnation\":{},\"seq\":{n},\"addr\":\"{}\",\"pool\":\"{}\",\"zone\":\"{}\",\"slots\":{},\"busy\":{},\"draining\":{drain}}}",
-                w.id, w.inc, w.addr, w.pool, w.zone, w.slots, w.busy.load(Ordering::Acquire)
+                w.id,
+                w.inc,
+                w.addr,
+                w.pool,
+                w.zone,
+                w.slots,
+                w.busy.load(Ordering::Acquire)
             );
             // Two nodes hear each report, so that one may be gone.
             for i in 0..w.to.len().min(2) {
--- a/crates/seating/src/agree/state.rs
+++ b/crates/seating/src/agree/state.rs
@@ -31,6 +31,7 @@
 pub struct Want {
     pub from: Asker,
     pub cid: Cid,
+    pub fresh: bool,
     pub base: Ver,
     pub change: Change,
     pub due: Us,
@@ -57,6 +58,7 @@
     pub round: u64,
     pub wants: Vec<Want>,
     pub have: BTreeMap<Nid, Ver>,
+    pub fill: Us,
 }
 
 impl Agree {
@@ -107,6 +109,25 @@
         self.hist.values().find(|d| d.cid == c && d.ver > 0)
     }
 
+    /// Whether another change is known to stand where this one would.
+    pub fn lost(&self, c: Cid, base: Ver) -> bool {
+        base.checked_add(1).and_then(|v| self.hist.get(&v)).is_some_and(|d| d.cid != c)
+    }
+
+    /// Takes in a version that was skipped; it changes nothing that is in force.
+    pub fn fill(&mut self, d: &Decree) -> bool {
+        let low = self.hist.keys().next().copied().unwrap_or(0);
+        let room = self.hist.len() < KEEP || d.ver > low;
+        if self.hist.contains_key(&d.ver) || !room {
+            return false;
+        }
+        self.hist.insert(d.ver, d.clone());
+        while self.hist.len() > KEEP {
+            self.hist.pop_first();
+        }
+        true
+    }
+
     /// What can be said of a change by its id alone.
     pub fn fate(&self, c: Cid) -> Option<Fate> {
         self.by_cid(c).map(|d| Fate::Done { ver: d.ver })
--- a/crates/seating/src/node/counts.rs
+++ b/crates/seating/src/node/counts.rs
@@ -37,6 +37,8 @@
     reports_ended,
     /// Reports that claimed to be from the future.
     reports_future,
+    /// Reports of other nodes dropped because this one had just woken.
+    reports_unaged,
     /// Terms won.
     terms_won,
     /// Terms refused by another core.
--- a/crates/seating/src/node/ferry.rs
+++ b/crates/seating/src/node/ferry.rs
@@ -11,6 +11,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Ferry {
     cid: Cid,
+    fresh: bool,
     base: Ver,
     change: Change,
     due: Us,
@@ -22,14 +23,15 @@
 }
 
 impl Node {
-    pub(super) fn put(&mut self, req: u64, cid: Cid, base: Ver, change: Change, now: Us) {
+    pub(super) fn put(&mut self, req: u64, (cid, fresh): (Cid, bool), base: Ver, change: Change, now: Us) {
         if self.voter() {
-            self.want(Asker::Here(req), cid, base, change, now);
+            self.want(Asker::Here(req), (cid, fresh), base, change, now);
             return;
         }
         self.counts.ferried += 1;
         let f = Ferry {
             cid,
+            fresh,
             base,
             change,
             due: now + PATIENCE + 1_500 * MS,
@@ -56,7 +58,8 @@
                     f.turn += 1;
                     f.open.insert(c);
                     f.tried.insert(c);
-                    let m = Msg::Ferry { n: *req, cid: f.cid, base: f.base, change: f.change.clone() };
+                    let fresh = f.fresh && f.turn == 1;
+                    let m = Msg::Ferry { n: *req, cid: f.cid, fresh, base: f.base, change: f.change.clone() };
                     self.send(c, m, now);
                 } else if f.due > now + SEC {
                     f.again = now + 100 * MS;
@@ -82,7 +85,7 @@
         v.iter().find(|n| !f.tried.contains(n)).or(v.first()).copied()
     }
 
-    pub(super) fn on_ferry(&mut self, by: Nid, n: u64, cid: Cid, base: Ver, change: Change, now: Us) {
+    pub(super) fn on_ferry(&mut self, by: Nid, n: u64, cid: (Cid, bool), base: Ver, change: Change, now: Us) {
         if self.voter() {
             self.want(Asker::Peer { nid: by, n }, cid, base, change, now);
         } else {
--- a/crates/seating/src/node/io.rs
+++ b/crates/seating/src/node/io.rs
@@ -23,9 +23,11 @@
     /// All writes up to this one are on disk.
     Synced(u64),
     Report(Row),
+    /// `fresh` says that nobody can have sent this change id before.
     Put {
         req: u64,
         cid: Cid,
+        fresh: bool,
         base: Ver,
         change: Change,
     },
--- a/crates/seating/src/node/learn.rs
+++ b/crates/seating/src/node/learn.rs
@@ -17,6 +17,9 @@
         }
         let before = self.ver();
         if !self.agree.take(d.clone()) {
+            if self.me.core && self.agree.fill(&d) {
+                self.write(vec![Op::Decide(d)], Vec::new());
+            }
             return;
         }
         self.counts.versions += 1;
--- a/crates/seating/src/node/mod.rs
+++ b/crates/seating/src/node/mod.rs
@@ -70,6 +70,7 @@
     show: bool,
     shown: view::Mark,
     last: Us,
+    woke: Us,
 }
 
 impl Node {
@@ -118,6 +119,7 @@
             show: true,
             shown: view::Mark::default(),
             last: now,
+            woke: now,
             me,
         }
     }
--- a/crates/seating/src/node/propose.rs
+++ b/crates/seating/src/node/propose.rs
@@ -6,19 +6,20 @@
 use std::collections::BTreeSet;
 
 const ROUND: Us = 400 * MS;
+const FILL: Us = 200 * MS;
 const STUCK: Us = 700 * MS;
 pub(super) const PATIENCE: Us = 3 * SEC;
 
 impl Node {
     /// Takes a change that this core will try to have agreed.
-    pub(super) fn want(&mut self, from: Asker, cid: Cid, base: Ver, change: Change, now: Us) {
+    pub(super) fn want(&mut self, from: Asker, (cid, fresh): (Cid, bool), base: Ver, change: Change, now: Us) {
         let no = match &change {
             Change::Tree(s) => judge(s).err().map(|v| v.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")),
             Change::Cores(cs) => self.bad_cores(cs, now),
             Change::Look => {
                 let f = match (self.agree.fate(cid), self.ver()) {
                     (Some(f), _) => f,
-                    (None, Some(v)) if v > base => Fate::Stale { ver: v },
+                    (None, Some(v)) if self.agree.lost(cid, base) => Fate::Stale { ver: v },
                     _ => Fate::Unknown,
                 };
                 return self.answer(from, f, now);
@@ -32,7 +33,7 @@
             return self.answer(from, Fate::Invalid { why }, now);
         }
         let due = now + PATIENCE;
-        self.agree.wants.push(Want { from, cid, base, change, due, sent: false, won: None });
+        self.agree.wants.push(Want { from, cid, fresh, base, change, due, sent: false, won: None });
     }
 
     pub fn history(&self) -> String {
@@ -244,16 +245,29 @@
             }
             let fate = match (w.won, mine) {
                 (Some(v), _) if self.settled(v) => Some(Fate::Done { ver: v }),
-                (None, Some(v)) if v > w.base => Some(Fate::Stale { ver: v }),
+                (None, Some(v)) if v > w.base && (w.fresh && !w.sent || self.agree.lost(w.cid, w.base)) => {
+                    Some(Fate::Stale { ver: v })
+                }
                 (None, Some(v)) if v < w.base && known.is_some_and(|t| t + PATIENCE > w.due) => {
                     Some(Fate::Stale { ver: v })
                 }
-                _ if now >= w.due => Some(if w.sent || w.won.is_some() { Fate::Unknown } else { Fate::NoMajority }),
+                _ if now >= w.due => Some(if w.sent || w.won.is_some() || mine.is_some_and(|v| v > w.base) {
+                    Fate::Unknown
+                } else {
+                    Fate::NoMajority
+                }),
                 _ => None,
             };
             match fate {
                 Some(f) => self.answer(w.from, f, now),
-                None => self.agree.wants.push(w),
+                None => {
+                    if mine.is_some_and(|v| v > w.base) && w.won.is_none() && now >= self.agree.fill {
+                        // A version was skipped here; others may know whose it was.
+                        self.agree.fill = now + FILL;
+                        self.cast(&Msg::Have { ver: w.base }, now);
+                    }
+                    self.agree.wants.push(w);
+                }
             }
         }
     }
--- a/crates/seating/src/node/reports.rs
+++ b/crates/seating/src/node/reports.rs
@@ -1,9 +1,11 @@
 use super::Node;
-use crate::base::{Nid, Us};
+use crate::base::{MS, Nid, Us};
 use crate::news::Apply;
 use crate::peer::{Msg, Row};
 use std::collections::BTreeMap;
 
+const WAKING: Us = 300 * MS;
+
 impl Node {
     /// A worker reported to this node.
     pub(super) fn report(&mut self, r: &Row, now: Us) {
@@ -27,6 +29,11 @@
     }
 
     pub(super) fn on_reports(&mut self, rows: &[Row], lag: Us, now: Us) {
+        // What lay waiting while this node was frozen is of an unknown age.
+        if now.saturating_sub(self.woke) < WAKING {
+            self.counts.reports_unaged += rows.len() as u64;
+            return;
+        }
         for r in rows {
             let at = now.saturating_sub(r.age.saturating_add(lag));
             self.merge(r, at, now);
--- a/crates/seating/src/node/step.rs
+++ b/crates/seating/src/node/step.rs
@@ -1,18 +1,24 @@
 use super::{Effect, Event, Node};
-use crate::base::{Nid, SEC, Us};
+use crate::base::{MS, Nid, SEC, Us};
 use crate::peer::{Frame, Msg};
 
+/// A node that was not stepped for so long was frozen, or as good as that.
+const STALL: Us = 500 * MS;
+
 impl Node {
     /// The one way in: an event and the time it came at give the effects.
     pub fn step(&mut self, e: Event, now: Us) -> Vec<Effect> {
         let now = now.max(self.last);
+        if now - self.last > STALL {
+            self.woke = now;
+        }
         self.last = now;
         match e {
             Event::Tick => self.tick(now),
             Event::Frame(f) => self.take_frame(*f, now),
             Event::Synced(t) => self.synced(t),
             Event::Report(r) => self.report(&r, now),
-            Event::Put { req, cid, base, change } => self.put(req, cid, base, change, now),
+            Event::Put { req, cid, fresh, base, change } => self.put(req, (cid, fresh), base, change, now),
             Event::Need { tenant, waiting } => self.need(&tenant, waiting, now),
             Event::Leave => self.leave(now),
         }
@@ -87,7 +93,7 @@
             Msg::NotHolder { n, tenant, holder } => self.on_not_holder(by, n, &tenant, holder, now),
             Msg::Recall { tenant, win, epoch } => self.on_recall(by, &tenant, win, epoch, now),
             Msg::Return { tenant, win, ret } => self.on_return(by, &tenant, win, ret, now),
-            Msg::Ferry { n, cid, base, change } => self.on_ferry(by, n, cid, base, change, now),
+            Msg::Ferry { n, cid, fresh, base, change } => self.on_ferry(by, n, (cid, fresh), base, change, now),
             Msg::Ferried { n, fate } => self.on_ferried(by, n, fate),
         }
     }
--- a/crates/seating/src/node/terms.rs
+++ b/crates/seating/src/node/terms.rs
@@ -103,6 +103,10 @@
         }
         let at = *at;
         h.ask = None;
+        // A renewal that comes after the end renews nothing: the ledger is gone.
+        if !h.fresh && !h.holds(now) {
+            return;
+        }
         h.won(at);
         if !std::mem::take(&mut h.fresh) {
             return;
--- a/crates/seating/src/peer/msg.rs
+++ b/crates/seating/src/peer/msg.rs
@@ -120,6 +120,6 @@
     NotHolder { n: u64, tenant: String, holder: Nid },
     Recall { tenant: String, win: u64, epoch: u64 },
     Return { tenant: String, win: u64, ret: u64 },
-    Ferry { n: u64, cid: Cid, base: Ver, change: Change },
+    Ferry { n: u64, cid: Cid, fresh: bool, base: Ver, change: Change },
     Ferried { n: u64, fate: Fate },
 }
--- a/crates/usher/src/admin/config.rs
+++ b/crates/usher/src/admin/config.rs
@@ -108,9 +108,9 @@
     r.uri().query().is_some_and(|q| q.split('&').any(|x| x == "dry_run=true" || x == "dry_run=1"))
 }
 
-async fn ask(h: &Hall, cid: Cid, base: Ver, change: Change) -> Fate {
+async fn ask(h: &Hall, (cid, fresh): (Cid, bool), base: Ver, change: Change) -> Fate {
     let (tx, rx) = oneshot::channel();
-    if h.inbox.send(In::Put { cid, base, change, back: tx }).await.is_err() {
+    if h.inbox.send(In::Put { cid, fresh, base, change, back: tx }).await.is_err() {
         return Fate::NoMajority;
     }
     rx.await.unwrap_or(Fate::Unknown)
@@ -154,6 +154,7 @@
 
 pub async fn put(h: Arc<Hall>, r: Request) -> Response {
     let dry = dry(&r);
+    let fresh = !r.headers().contains_key("change-id");
     let (b, c) = match (base(&r), cid(&r)) {
         (Ok(b), Ok(c)) => (b, c),
         (Err(e), _) | (_, Err(e)) => return e,
@@ -178,11 +179,11 @@
             told(Fate::Stale { ver }, c)
         };
     }
-    told(ask(&h, c, b, Change::Tree(s)).await, c)
+    told(ask(&h, (c, fresh), b, Change::Tree(s)).await, c)
 }
 
 pub async fn history(h: Arc<Hall>, _: Request) -> Response {
-    told(ask(&h, Cid(0), 0, Change::History).await, Cid(0))
+    told(ask(&h, (Cid(0), false), 0, Change::History).await, Cid(0))
 }
 
 pub async fn change(h: Arc<Hall>, r: Request) -> Response {
@@ -190,7 +191,7 @@
         return trouble(StatusCode::BAD_REQUEST, "change_id", "a change id has 16 hex digits");
     };
     let b = r.uri().query().and_then(|q| q.split('&').find_map(|x| x.strip_prefix("base=")?.parse::<Ver>().ok()));
-    match ask(&h, c, b.unwrap_or(Ver::MAX), Change::Look).await {
+    match ask(&h, (c, false), b.unwrap_or(Ver::MAX), Change::Look).await {
         Fate::Stale { ver } => {
             json(StatusCode::OK, format!("{{\"state\":\"lost\",\"version\":{ver},\"change\":\"{c}\"}}"))
         }
@@ -233,6 +234,7 @@
 }
 
 pub async fn put_cores(h: Arc<Hall>, r: Request) -> Response {
+    let fresh = !r.headers().contains_key("change-id");
     let (b, c) = match (base(&r), cid(&r)) {
         (Ok(b), Ok(c)) => (b, c),
         (Err(e), _) | (_, Err(e)) => return e,
@@ -264,5 +266,5 @@
             }
         }
     }
-    told(ask(&h, c, b, Change::Cores(cs)).await, c)
+    told(ask(&h, (c, fresh), b, Change::Cores(cs)).await, c)
 }
--- a/crates/usher/src/brain/mod.rs
+++ b/crates/usher/src/brain/mod.rs
@@ -60,10 +60,10 @@
                     Some(In::Report(r)) => Event::Report(r),
                     Some(In::Need { tenant, waiting }) => Event::Need { tenant, waiting },
                     Some(In::Leave) => Event::Leave,
-                    Some(In::Put { cid, base, change, back }) => {
+                    Some(In::Put { cid, fresh, base, change, back }) => {
                         o.n += 1;
                         o.waits.insert(o.n, back);
-                        Event::Put { req: o.n, cid, base, change }
+                        Event::Put { req: o.n, cid, fresh, base, change }
                     }
                 },
             };
--- a/crates/usher/src/hall/state.rs
+++ b/crates/usher/src/hall/state.rs
@@ -22,7 +22,7 @@
 #[derive(Debug)]
 pub enum In {
     Report(Row),
-    Put { cid: Cid, base: Ver, change: Change, back: oneshot::Sender<Fate> },
+    Put { cid: Cid, fresh: bool, base: Ver, change: Change, back: oneshot::Sender<Fate> },
     Need { tenant: String, waiting: u64 },
     Leave,
 }
