--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -120,6 +120,11 @@
                 t.elapsed().as_millis(),
                 s.breaches.len()
             );
+            if trace {
+                for (k, (n, b)) in &s.far {
+                    println!("    between zones: {k:10} {n:7} frames {b:9} bytes");
+                }
+            }
             if trace || !s.breaches.is_empty() {
                 for l in &s.trace {
                     println!("    {l}");
--- a/crates/rehearsal/src/sim/drive.rs
+++ b/crates/rehearsal/src/sim/drive.rs
@@ -39,6 +39,7 @@
     pub recovered: Option<Us>,
     pub frames: u64,
     pub bytes: u64,
+    pub far: std::collections::BTreeMap<String, (u64, u64)>,
     pub trace: Vec<String>,
 }
 
@@ -153,6 +154,7 @@
         recovered: rec,
         frames: w.frames,
         bytes: w.bytes,
+        far: w.far,
         trace: w.trace,
     }
 }
--- a/crates/rehearsal/src/sim/world.rs
+++ b/crates/rehearsal/src/sim/world.rs
@@ -51,6 +51,8 @@
     pub loss: (u64, Us),
     pub frames: u64,
     pub bytes: u64,
+    /// Frames and bytes between zones by the kind of message.
+    pub far: BTreeMap<String, (u64, u64)>,
     pub trace: Vec<String>,
     heap: BinaryHeap<Reverse<(Us, u64, usize)>>,
     what: BTreeMap<u64, Happen>,
@@ -73,6 +75,7 @@
             loss: (0, 0),
             frames: 0,
             bytes: 0,
+            far: BTreeMap::new(),
             trace: Vec::new(),
             heap: BinaryHeap::new(),
             what: BTreeMap::new(),
@@ -235,6 +238,13 @@
         let Ok(b) = pack(&f) else { return };
         self.frames += 1;
         self.bytes += b.len() as u64;
+        if self.slots[i].zone != self.slots[j].zone {
+            let t = format!("{:?}", f.msg);
+            let k = t.split([' ', '{']).next().unwrap_or("").to_owned();
+            let e = self.far.entry(k).or_default();
+            e.0 += 1;
+            e.1 += b.len() as u64;
+        }
         let lossy = self.loss.1 > self.now && self.rng.chance(self.loss.0);
         if self.cut(i, j) || lossy {
             return;
--- a/crates/seating/src/node/gossip.rs
+++ b/crates/seating/src/node/gossip.rs
@@ -1,8 +1,11 @@
 use super::Node;
 use crate::base::{Nid, Us};
-use crate::peer::{Msg, Peer};
+use crate::peer::{Beat, Msg, Peer};
 use crate::ring;
 
+/// Every so many beats one node is drawn among all, so that parted halves meet again.
+const FAR_EVERY: u64 = 4;
+
 impl Node {
     fn self_row(&self) -> Peer {
         Peer {
@@ -30,45 +33,64 @@
         }
         self.ring.due = now + ring::EVERY;
         self.beat(now);
-        let mut to = self.ring.watch(self.me.nid, now);
-        to.extend(self.ring.any(self.me.nid, &mut self.rng));
+        let mut to = self.ring.watch(self.me.nid, &self.me.zone, now);
+        if self.beat.is_multiple_of(FAR_EVERY) {
+            to.extend(self.ring.any(self.me.nid, &mut self.rng));
+        }
         to.sort_unstable();
         to.dedup();
         for n in to {
-            self.gossip(n, true, now);
+            self.gossip(n, true, Vec::new(), now);
         }
         for s in self.me.seeds.clone() {
             let known = s == self.me.addr || self.ring.live(now).any(|p| p.addr == s);
             if !known {
                 let rows = vec![self.self_row()];
-                self.send_addr(&s, Msg::Gossip { rows, reply: true }, now);
+                let m = Msg::Gossip { beats: Vec::new(), rows, ask: Vec::new(), reply: true };
+                self.send_addr(&s, m, now);
             }
         }
     }
 
-    fn gossip(&mut self, to: Nid, reply: bool, now: Us) {
-        let rows = self.ring.delta(to, now);
-        if reply || !rows.is_empty() {
-            self.send(to, Msg::Gossip { rows, reply }, now);
+    fn gossip(&mut self, to: Nid, reply: bool, ask: Vec<Nid>, now: Us) {
+        let (beats, rows) = self.ring.delta(to, now);
+        if reply || !(beats.is_empty() && rows.is_empty() && ask.is_empty()) {
+            self.send(to, Msg::Gossip { beats, rows, ask, reply }, now);
         }
     }
 
-    pub(super) fn on_gossip(&mut self, by: Nid, rows: &[Peer], reply: bool, now: Us) {
+    pub(super) fn on_gossip(
+        &mut self,
+        by: Nid,
+        (beats, rows): (&[Beat], &[Peer]),
+        asked: &[Nid],
+        reply: bool,
+        now: Us,
+    ) {
         let strange = !self.ring.seen.contains_key(&by);
         let mine = self.ver();
-        for p in rows {
-            if p.nid == self.me.nid {
-                continue;
-            }
-            if self.ring.merge(p, now) && mine.is_none_or(|v| p.ver > v) && !self.voter() {
-                self.news.ask_due = now;
+        let (mut ask, mut newer) = (Vec::new(), false);
+        for p in rows.iter().filter(|p| p.nid != self.me.nid) {
+            newer |= self.ring.merge(p, now) && mine.is_none_or(|v| p.ver > v);
+        }
+        for b in beats.iter().filter(|b| b.nid != self.me.nid) {
+            match self.ring.merge_beat(b, now) {
+                None => ask.push(b.nid),
+                Some(n) => newer |= n && mine.is_none_or(|v| b.ver > v),
             }
         }
+        if newer && !self.voter() {
+            self.news.ask_due = now;
+        }
         if strange {
             self.ring.sent.remove(&by);
+        } else if let Some(m) = self.ring.sent.get_mut(&by) {
+            for n in asked {
+                m.remove(n);
+            }
         }
-        if reply {
-            self.gossip(by, false, now);
+        if reply || !ask.is_empty() || !asked.is_empty() {
+            self.gossip(by, false, ask, now);
         }
     }
 
@@ -77,7 +99,7 @@
         self.beat(now);
         let all: Vec<_> = self.ring.live(now).map(|p| p.nid).filter(|n| *n != self.me.nid).collect();
         for n in all {
-            self.gossip(n, false, now);
+            self.gossip(n, false, Vec::new(), now);
         }
     }
 }
--- a/crates/seating/src/peer/msg.rs
+++ b/crates/seating/src/peer/msg.rs
@@ -43,6 +43,17 @@
     pub ver: Ver,
 }
 
+/// The part of what is known of a node that changes all the time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[musli(packed)]
+pub struct Beat {
+    pub nid: Nid,
+    pub inc: Inc,
+    pub beat: u64,
+    pub ver: Ver,
+    pub leaving: bool,
+}
+
 /// What a worker said of itself.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Row {
@@ -93,7 +104,7 @@
 
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum Msg {
-    Gossip { rows: Vec<Peer>, reply: bool },
+    Gossip { beats: Vec<Beat>, rows: Vec<Peer>, ask: Vec<Nid>, reply: bool },
     Found { me: Core, ver: Option<Ver>, pledge: Vec<Core> },
     Prepare { inst: Ver, bal: Ballot },
     Promise { inst: Ver, bal: Ballot, acc: Option<(Ballot, Decree)> },
--- a/crates/seating/src/quota/holder.rs
+++ b/crates/seating/src/quota/holder.rs
@@ -134,7 +134,7 @@
             }
             b.wait.remove(0);
             let fair = (l / (2 * nodes.max(1))).max(1);
-            let n = a.want.min(fair.max(l / 8)).max(1).min(l);
+            let n = a.want.min(fair.max(l / 4)).max(1).min(l);
             let c = b.cum.entry(a.nid).or_insert(0);
             *c += n;
             let g = Grant { tenant: t.to_owned(), win: b.win, nid: a.nid, cum: *c, age: now.saturating_sub(b.from) };
--- a/crates/seating/src/quota/slices.rs
+++ b/crates/seating/src/quota/slices.rs
@@ -3,6 +3,8 @@
 use std::sync::{Mutex, MutexGuard};
 
 const SHARDS: usize = 16;
+/// A slice is cut for so long.
+const AHEAD: Us = 500 * MS;
 
 /// A node's part of one tenant's window.
 #[derive(Clone, Debug, Default)]
@@ -13,8 +15,9 @@
     free: u64,
     until: Us,
     spent: Us,
-    /// Calls that looked for a unit since the last ask, for the size of the next.
+    /// Calls that looked for a unit since then, for the size of the next slice.
     looked: u64,
+    since: Us,
     rate: u64,
     waiting: u64,
     asked: Us,
@@ -82,10 +85,14 @@
     pub fn want(&self, t: &str, waiting: u64, now: Us) -> (u64, u64, u64) {
         let mut g = self.at(t);
         let s = g.entry(t.to_owned()).or_default();
-        let gap = now.saturating_sub(s.asked).max(1);
-        let per = s.looked.saturating_mul(250 * MS) / gap.max(250 * MS);
-        s.rate = s.rate.div_ceil(2).max(per);
-        s.looked = 0;
+        let gap = now.saturating_sub(s.since);
+        if gap >= AHEAD {
+            s.rate = s.looked.saturating_mul(AHEAD) / gap;
+            s.looked = 0;
+            s.since = now;
+        } else {
+            s.rate = s.rate.max(s.looked);
+        }
         s.asked = now;
         s.waiting = waiting;
         let want = waiting.max(1) + s.rate.saturating_sub(s.free.min(s.rate));
@@ -100,7 +107,15 @@
             return;
         }
         if win > s.win {
-            *s = Slice { win, looked: s.looked, rate: s.rate, asked: s.asked, last: s.last, ..Slice::default() };
+            *s = Slice {
+                win,
+                looked: s.looked,
+                since: s.since,
+                rate: s.rate,
+                asked: s.asked,
+                last: s.last,
+                ..Slice::default()
+            };
         }
         if cum > s.got {
             s.free += cum - s.got;
@@ -116,7 +131,16 @@
         if win >= s.win {
             s.spent = until.min(now + 200 * MS);
             if win > s.win {
-                *s = Slice { win, spent: s.spent, rate: s.rate, asked: s.asked, last: s.last, ..Slice::default() };
+                *s = Slice {
+                    win,
+                    spent: s.spent,
+                    looked: s.looked,
+                    since: s.since,
+                    rate: s.rate,
+                    asked: s.asked,
+                    last: s.last,
+                    ..Slice::default()
+                };
             }
             s.until = s.until.max(until);
         }
--- a/crates/seating/src/ring.rs
+++ b/crates/seating/src/ring.rs
@@ -1,12 +1,13 @@
-use crate::base::{MS, Nid, Rng, SEC, Us, rdv};
-use crate::peer::Peer;
+use crate::base::{Inc, MS, Nid, Rng, SEC, Us, rdv};
+use crate::peer::{Beat, Peer};
 use std::collections::BTreeMap;
 
 pub const EVERY: Us = 500 * MS;
 /// A node whose beat stood still this long is taken for gone.
 pub const GONE: Us = 2_500 * MS;
 const FORGET: Us = 60 * SEC;
-const WATCH: usize = 3;
+const NEAR: usize = 2;
+const FAR: usize = 1;
 
 #[derive(Clone, Debug)]
 pub struct Seen {
@@ -19,7 +20,7 @@
 pub struct Ring {
     pub seen: BTreeMap<Nid, Seen>,
     pub due: Us,
-    pub sent: BTreeMap<Nid, BTreeMap<Nid, u64>>,
+    pub sent: BTreeMap<Nid, BTreeMap<Nid, (Inc, u64)>>,
 }
 
 impl Ring {
@@ -51,12 +52,16 @@
         self.seen.get(&n).map(|s| s.p.addr.as_str())
     }
 
-    /// The few that this node watches, by rendezvous.
-    pub fn watch(&self, me: Nid, now: Us) -> Vec<Nid> {
-        let mut v: Vec<_> =
-            self.live(now).filter(|p| p.nid != me).map(|p| (rdv(p.nid.0, &me.0.to_le_bytes()), p.nid)).collect();
+    /// The few that this node watches, by rendezvous: most of them in its own zone.
+    pub fn watch(&self, me: Nid, zone: &str, now: Us) -> Vec<Nid> {
+        let mut v: Vec<_> = self
+            .live(now)
+            .filter(|p| p.nid != me)
+            .map(|p| (rdv(p.nid.0, &me.0.to_le_bytes()), p.nid, p.zone == zone))
+            .collect();
         v.sort_unstable_by(|a, b| b.cmp(a));
-        v.into_iter().take(WATCH).map(|x| x.1).collect()
+        let near = v.iter().filter(|x| x.2).take(NEAR);
+        near.chain(v.iter().filter(|x| !x.2).take(FAR)).map(|x| x.1).collect()
     }
 
     /// The home of a service in a zone, and then its runner-up.
@@ -97,16 +102,39 @@
         if v.is_empty() { None } else { v.get(usize::try_from(r.below(v.len() as u64)).unwrap_or(0)).copied() }
     }
 
-    /// The rows that a peer has not been told by this node.
-    pub fn delta(&mut self, to: Nid, now: Us) -> Vec<Peer> {
+    /// What a peer has not been told by this node: who is new to it, whole; of the
+    /// others only the beat.
+    pub fn delta(&mut self, to: Nid, now: Us) -> (Vec<Beat>, Vec<Peer>) {
         let m = self.sent.entry(to).or_default();
-        let mut out = Vec::new();
+        let (mut beats, mut rows) = (Vec::new(), Vec::new());
         for (n, s) in &self.seen {
-            let k = s.p.inc.wrapping_mul(1 << 20).wrapping_add(s.p.beat);
-            if now.saturating_sub(s.heard) < GONE && m.insert(*n, k) != Some(k) {
-                out.push(s.p.clone());
+            let k = (s.p.inc, s.p.beat);
+            if now.saturating_sub(s.heard) >= GONE || m.get(n) == Some(&k) {
+                continue;
+            }
+            if m.insert(*n, k).is_some_and(|o| o.0 == s.p.inc) {
+                let p = &s.p;
+                beats.push(Beat { nid: p.nid, inc: p.inc, beat: p.beat, ver: p.ver, leaving: p.leaving });
+            } else {
+                rows.push(s.p.clone());
             }
         }
-        out
+        (beats, rows)
+    }
+
+    /// Merges a beat; none if the node that it tells of must be asked for.
+    pub fn merge_beat(&mut self, b: &Beat, now: Us) -> Option<bool> {
+        let s = self.seen.get_mut(&b.nid)?;
+        if b.inc > s.p.inc {
+            return None;
+        }
+        if (b.inc, b.beat) <= (s.p.inc, s.p.beat) {
+            return Some(false);
+        }
+        s.p.beat = b.beat;
+        s.p.ver = b.ver;
+        s.p.leaving = b.leaving;
+        s.heard = now;
+        Some(true)
     }
 }
