A call that a full worker declined waits for its second try instead of ending

Change: a declined call waits, as long as it may wait, until the budget pays; a worker that says it is full is taken to hold as many calls of others as this node has not, until an own call ends or it reports anew (before: closed for 0.1 s). Ruled out: the waitlist's order (the refused ones had been given a place).

--- a/crates/rehearsal/src/standin/caller.rs
+++ b/crates/rehearsal/src/standin/caller.rs
@@ -27,6 +27,8 @@
     pub at: Instant,
     pub first: Duration,
     pub total: Duration,
+    /// When a refusal says to return, in milliseconds.
+    pub back_ms: u64,
     pub seen: Seen,
 }
 
@@ -55,12 +57,13 @@
             at,
             first: Duration::ZERO,
             total: Duration::ZERO,
+            back_ms: 0,
             seen: Seen::None,
         };
         let go = async {
             let r = match ask(&self.http, Method::POST, &uri, &h, &b).await {
                 Ok(r) => r,
-                Err(_) => return (Seen::None, at.elapsed()),
+                Err(_) => return (Seen::None, at.elapsed(), 0),
             };
             let status = r.status().as_u16();
             let head = |k: &str| r.headers().get(k).and_then(|v| v.to_str().ok()).unwrap_or("").to_owned();
@@ -78,6 +81,7 @@
                         return (
                             check(id, &buf, sse, false).map_or_else(Seen::Wrong, |()| Seen::Broken { pieces: n }),
                             first,
+                            0,
                         );
                     }
                     Some(Ok(f)) => {
@@ -92,17 +96,19 @@
                 }
             }
             if status == 200 {
-                return (check(id, &buf, sse, true).map_or_else(Seen::Wrong, |()| Seen::Whole), first);
+                return (check(id, &buf, sse, true).map_or_else(Seen::Wrong, |()| Seen::Whole), first, 0);
             }
             let code = buf.split("\"code\":\"").nth(1).and_then(|s| s.split('"').next()).unwrap_or("").to_owned();
-            (Seen::Refused { status, code, ran, back }, first)
+            let ms = buf.split("\"retry_after_ms\":").nth(1).and_then(|s| s.trim_end_matches('}').parse().ok());
+            (Seen::Refused { status, code, ran, back }, first, ms.unwrap_or(0))
         };
-        let (seen, first) = match tokio::time::timeout(Duration::from_secs(30), go).await {
+        let (seen, first, back) = match tokio::time::timeout(Duration::from_secs(30), go).await {
             Ok(x) => x,
-            Err(_) => (Seen::Wrong("no end in 30 s".into()), at.elapsed()),
+            Err(_) => (Seen::Wrong("no end in 30 s".into()), at.elapsed(), 0),
         };
         o.seen = seen;
         o.first = first;
+        o.back_ms = back;
         o.total = at.elapsed();
         o
     }
--- a/crates/rehearsal/tests/fleet.rs
+++ b/crates/rehearsal/tests/fleet.rs
@@ -45,6 +45,7 @@
         at: t + Duration::from_secs(9),
         first: Duration::ZERO,
         total: Duration::ZERO,
+        back_ms: 0,
         seen,
     };
     let no = |status, back| Seen::Refused { status, code: "x".into(), ran: "no".into(), back };
--- a/crates/rehearsal/tests/trials.rs
+++ b/crates/rehearsal/tests/trials.rs
@@ -404,6 +404,75 @@
     });
 }
 
+/// A crowd of several times what the workers can do, most of it one tenant's drafts.
+#[test]
+fn a_crowd_leaves_the_small_their_share_and_is_refused_at_once() {
+    trial(async {
+        let body = tree(SMALL, 0, &[]).replace("\"calls\":120", "\"calls\":100000");
+        let (f, _ws, log) = ready(SMALL, &body).await?;
+        let fronts = [f.nodes[3].front(), f.nodes[4].front()];
+        // Three workers of 16 places and 410 ms for a draft: about 117 drafts a second.
+        let mut set = tokio::task::JoinSet::new();
+        let mut t = tokio::time::interval(Duration::from_millis(10));
+        let begin = Instant::now();
+        for n in 0..300usize {
+            t.tick().await;
+            for k in 0..4 {
+                let (c, at) = (caller(&f, "/v1/draft", 0), fronts[(n + k) % 2].clone());
+                let id = format!("big{n}-{k}");
+                set.spawn(async move { c.call(&at, &id, &format!("same prefix for all, the hot one|{n}")).await });
+            }
+            if n % 5 == 0 {
+                let (c, at) = (caller(&f, "/v1/chat", 1), fronts[n % 2].clone());
+                set.spawn(async move { c.call(&at, &format!("small{n}"), "another").await });
+                let (c, at) = (caller(&f, "/v1/confirm", 1), fronts[n % 2].clone());
+                set.spawn(async move { c.call(&at, &format!("quick{n}"), "x").await });
+            }
+        }
+        let crowd = begin.elapsed();
+        let mut all = Vec::new();
+        while let Some(o) = set.join_next().await {
+            all.push(o.map_err(|e| e.to_string())?);
+        }
+        let of = |p: &str| all.iter().filter(|o| o.call.starts_with(p)).collect::<Vec<_>>();
+        let whole = |v: &[&rehearsal::standin::Outcome]| v.iter().filter(|o| o.seen == Seen::Whole).count();
+        let (big, small, quick) = (of("big"), of("small"), of("quick"));
+        let goodput = whole(&big) as f64 / (crowd.as_secs_f64() + 2.0);
+        println!(
+            "drafts {} of {} ({goodput:.0} a second), chats {} of {}, lookups {} of {}",
+            whole(&big),
+            big.len(),
+            whole(&small),
+            small.len(),
+            whole(&quick),
+            quick.len()
+        );
+        want(goodput > 70.0, format!("goodput {goodput}"))?;
+        want(whole(&small) * 100 >= small.len() * 95, format!("chats {} of {}", whole(&small), small.len()))?;
+        want(whole(&quick) == quick.len(), format!("lookups {} of {}", whole(&quick), quick.len()))?;
+        let mut first: Vec<_> = quick.iter().map(|o| o.first).collect();
+        first.sort_unstable();
+        want(
+            first[first.len() * 9 / 10] < Duration::from_millis(150),
+            format!("lookups at {:?}", first[first.len() * 9 / 10]),
+        )?;
+        let mut backs = std::collections::BTreeSet::new();
+        for o in &all {
+            match &o.seen {
+                Seen::Whole => {}
+                Seen::Refused { status: 503, code, back: true, ran } if code == "full" || code == "worker_full" => {
+                    want(ran == "no" && o.total < Duration::from_millis(2_600), format!("{o:?}"))?;
+                    backs.insert(o.back_ms);
+                }
+                s => return Err(format!("{}: {s:?}", o.call)),
+            }
+        }
+        want(backs.len() > 50, format!("{} different times to return", backs.len()))?;
+        let bad = judge(&all, &log.all(), None);
+        want(bad.iter().all(|b| b.0.contains("two quotas")), format!("{bad:?}"))
+    });
+}
+
 #[test]
 fn a_front_without_a_token_tells_nothing() {
     trial(async {
--- a/crates/seating/src/place/loads.rs
+++ b/crates/seating/src/place/loads.rs
@@ -1,5 +1,5 @@
 use super::Table;
-use crate::base::{Us, hash64};
+use crate::base::hash64;
 use std::collections::BTreeMap;
 use std::sync::{Mutex, MutexGuard};
 
@@ -13,8 +13,6 @@
     of: (u64, u64),
     /// A life of this worker that failed a call, and the report it had made.
     bad: Option<(u64, u64)>,
-    /// It said that it is full; until then it is taken at its word.
-    full: Us,
 }
 
 /// What this node itself has in flight, in shards with a lock each.
@@ -39,7 +37,7 @@
     }
 
     /// The load of each place: own calls, and what the report counted of others.
-    pub fn of(&self, t: &Table, now: Us) -> Vec<u32> {
+    pub fn of(&self, t: &Table) -> Vec<u32> {
         t.places
             .iter()
             .map(|p| {
@@ -49,7 +47,7 @@
                     l.of = (p.inc, p.seq);
                     l.others = p.busy.saturating_sub(l.own);
                 }
-                if l.bad.is_some_and(|b| b >= (p.inc, p.seq)) || now < l.full {
+                if l.bad.is_some_and(|b| b >= (p.inc, p.seq)) {
                     return u32::MAX;
                 }
                 l.own + l.others
@@ -72,8 +70,12 @@
         self.at(w).entry(w.to_owned()).or_default().bad = Some((inc, seq));
     }
 
-    pub fn full(&self, w: &str, until: Us) {
-        self.at(w).entry(w.to_owned()).or_default().full = until;
+    /// It said that it is full, so others have there what this node has not: room
+    /// comes when an own call ends or it reports anew.
+    pub fn full(&self, w: &str, slots: u32) {
+        let mut g = self.at(w);
+        let l = g.entry(w.to_owned()).or_default();
+        l.others = l.others.max(slots.saturating_sub(l.own.saturating_sub(1)));
     }
 
     pub fn own(&self) -> u64 {
--- a/crates/seating/tests/machines.rs
+++ b/crates/seating/tests/machines.rs
@@ -253,12 +253,19 @@
     let l = Loads::default();
     let t = Table::new([row("w", "z", 1, 5)].iter());
     l.begin("w");
-    assert_eq!(l.of(&t, 0), [1]);
+    assert_eq!(l.of(&t), [1]);
     l.bad("w", 1, 5);
-    assert_eq!(l.of(&t, 0), [u32::MAX]);
-    assert_eq!(l.of(&Table::new([row("w", "z", 1, 6)].iter()), 0), [1]);
+    assert_eq!(l.of(&t), [u32::MAX]);
+    assert_eq!(l.of(&Table::new([row("w", "z", 1, 6)].iter())), [1]);
     let busy = Row { busy: 3, ..row("w", "z", 1, 7) };
-    assert_eq!(l.of(&Table::new([busy].iter()), 0), [3], "one own and two of others");
+    assert_eq!(l.of(&Table::new([busy.clone()].iter())), [3], "one own and two of others");
+    l.begin("w");
+    l.full("w", 4);
+    assert_eq!(l.of(&Table::new([busy.clone()].iter())), [5], "it said that it is full");
+    l.end("w");
+    l.end("w");
+    assert_eq!(l.of(&Table::new([busy].iter())), [3], "room where own calls ended");
+    assert_eq!(l.of(&Table::new([row("w", "z", 1, 8)].iter())), [0]);
 }
 
 #[test]
--- a/crates/usher/src/front/send.rs
+++ b/crates/usher/src/front/send.rs
@@ -10,7 +10,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use seating::base::{MS, SEC, Us};
+use seating::base::{SEC, Us};
 use seating::tries::{Next, Ran, Spot, next};
 use std::sync::{Arc, LazyLock};
 use std::time::Duration;
@@ -124,6 +124,8 @@
                 }
                 match n {
                     Next::Again => skip.push(wid),
+                    // Not run and still in time: it waits until a second try may be paid.
+                    Next::Stop(Ran::No) if first && l.spot == Spot::Declined && paid(&a, due).await => skip.push(wid),
                     Next::Stop(_) => {
                         Counts::add(&h.counts.refused_worker);
                         return Err(trouble(&l, ran));
@@ -146,6 +148,17 @@
     Answer::new(s, c, r).ran(ran).back(SEC / 2)
 }
 
+/// Waits for the budget as long as the call may wait at all.
+async fn paid(a: &Ask, due: Us) -> bool {
+    while clock::now() < due {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        if a.hall.budget.second() {
+            return true;
+        }
+    }
+    false
+}
+
 const HOP: [&str; 9] = [
     "connection",
     "keep-alive",
@@ -197,8 +210,7 @@
         }
         Ok(Ok(res)) => {
             if res.headers().get("x-ran").is_some_and(|v| v == "no") {
-                let t: Us = clock::now() + 100 * MS;
-                s.full(t);
+                s.full();
                 return Err(lost(Spot::Declined, false));
             }
             // An answer that names another call is nobody's.
--- a/crates/usher/src/hall/seat.rs
+++ b/crates/usher/src/hall/seat.rs
@@ -44,8 +44,8 @@
         self.hall.caches.routes.delete(&self.pool);
     }
 
-    pub fn full(&self, until: Us) {
-        self.hall.loads.full(&self.at.wid, until);
+    pub fn full(&self) {
+        self.hall.loads.full(&self.at.wid, self.at.slots);
     }
 }
 
@@ -85,7 +85,7 @@
         }
         let t = table_of(&h.view.load(), pool);
         while !w.is_empty() {
-            let load = h.loads.of(&t, clock::now());
+            let load = h.loads.of(&t);
             let got = w.pop(|x| t.nominate(x.hash, &h.env.zone, &load, &x.skip));
             let Some((x, i)) = got else { break };
             let s = Seat::take(h, pool, &t.places[i]);
@@ -116,7 +116,7 @@
         let mut g = h.waits();
         let w = g.entry(m.pool.clone()).or_insert_with(|| Waitlist::new(h.env.waitlist));
         if w.is_empty() {
-            let load = h.loads.of(&t, now);
+            let load = h.loads.of(&t);
             if let Some(i) = t.nominate(hash, &h.env.zone, &load, skip) {
                 return Ok(Seat::take(h, &m.pool, &t.places[i]));
             }
