Operators drain workers and nodes; matches from OpenAPI files

A pool's drain list is part of the tree, so it is in force everywhere by the same way and within the same 2 s as any version. Trial: 20 calls through both fronts with two of three workers drained all ran on the third.

--- a/crates/rehearsal/tests/trials.rs
+++ b/crates/rehearsal/tests/trials.rs
@@ -404,6 +404,28 @@
     });
 }
 
+#[test]
+fn operators_drain_workers_and_nodes() {
+    trial(async {
+        let (f, ws, log) = small().await?;
+        let body = tree(SMALL, 0, &[]).replace("\"llm\":{}", "\"llm\":{\"drain\":[\"llm0\",\"llm2\"]}");
+        let v = change(&f, 3, &body).await?;
+        f.spread(v, Duration::from_secs(2)).await?;
+        for n in 0..20 {
+            let at = f.nodes[3 + n % 2].front();
+            let o = caller(&f, "/v1/chat", 0).call(&at, &format!("d{n}"), &format!("prefix {n}|")).await;
+            want(o.seen == Seen::Whole, format!("{:?}", o.seen))?;
+        }
+        want(log.all().iter().all(|r| r.worker == ws[1].id()), "a drained worker got a call")?;
+        want(f.admin(4, Method::POST, "/v1/drain", &[], "").await?.0 == 200, "no drain")?;
+        want(!f.ready(4).await, "ready while drained")?;
+        let o = caller(&f, "/v1/chat", 0).call(&f.nodes[4].front(), "still", "x").await;
+        want(o.seen == Seen::Whole, format!("a drained node serves on: {:?}", o.seen))?;
+        want(f.admin(4, Method::DELETE, "/v1/drain", &[], "").await?.0 == 200, "no return")?;
+        want(f.ready(4).await, "not ready again")
+    });
+}
+
 /// A crowd of several times what the workers can do, most of it one tenant's drafts.
 #[test]
 fn a_crowd_leaves_the_small_their_share_and_is_refused_at_once() {
--- a/crates/seating/src/config/check/judge.rs
+++ b/crates/seating/src/config/check/judge.rs
@@ -177,10 +177,11 @@
 }
 
 fn pool(n: String, r: &Read, out: &mut Vec<Trouble>) -> Pool {
-    r.only(&["workers"], out);
+    r.only(&["workers", "drain"], out);
+    let drain: Vec<_> = r.texts("drain", out).unwrap_or_default().into_iter().map(str::to_owned).collect();
     let any = r.raw("workers").is_none_or(|v| v.as_str() == Some("any"));
     if any {
-        return Pool { name: n, workers: None };
+        return Pool { name: n, workers: None, drain };
     }
     let ws = r.texts("workers", out).unwrap_or_default();
     if ws.is_empty()
@@ -200,7 +201,7 @@
             out.push(Trouble::Taken { at: format!("{}/{i}", r.path("workers")), by: (*w).into() });
         }
     }
-    Pool { name: n, workers: Some(ws.into_iter().map(str::to_owned).collect()) }
+    Pool { name: n, workers: Some(ws.into_iter().map(str::to_owned).collect()), drain }
 }
 
 fn tenant(n: &str, r: &Read, q: Quota, w: u64, p: &mut Plan, out: &mut Vec<Trouble>) {
--- a/crates/seating/src/config/tree/plan.rs
+++ b/crates/seating/src/config/tree/plan.rs
@@ -55,6 +55,15 @@
     pub name: String,
     /// The addresses that may serve; none named means any that announces itself.
     pub workers: Option<Vec<String>>,
+    /// Workers, by id, that an operator lets run empty: no new calls go to them.
+    pub drain: Vec<String>,
+}
+
+impl Pool {
+    pub fn takes(&self, wid: &str, addr: &str) -> bool {
+        let named = self.workers.as_ref().is_none_or(|v| v.iter().any(|a| a == addr));
+        named && !self.drain.iter().any(|w| w == wid)
+    }
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/usher/src/admin/door.rs
+++ b/crates/usher/src/admin/door.rs
@@ -5,6 +5,7 @@
 use seating::base::sha_hex;
 use std::future::Future;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use viz::{Request, Response, Result, Router, StatusCode, header};
 
 /// The token's hash is looked up; the token itself is kept nowhere.
@@ -24,6 +25,8 @@
     let v = h.view.load();
     if h.stopping() {
         text(StatusCode::SERVICE_UNAVAILABLE, "stopping\n".into())
+    } else if h.resting.load(Ordering::Acquire) {
+        text(StatusCode::SERVICE_UNAVAILABLE, "draining\n".into())
     } else if !h.fresh(&v) {
         text(StatusCode::SERVICE_UNAVAILABLE, "not fresh\n".into())
     } else {
@@ -77,6 +80,8 @@
         .get("/v1/effective/:sort/:name", guarded(h, config::effective))
         .get("/v1/cores", guarded(h, config::cores))
         .put("/v1/cores", guarded(h, config::put_cores))
+        .post("/v1/drain", guarded(h, nodes::drain))
+        .delete("/v1/drain", guarded(h, nodes::undrain))
         .get("/v1/nodes", guarded(h, nodes::nodes))
         .get("/v1/workers", guarded(h, nodes::workers))
         .get("/v1/beliefs", guarded(h, nodes::beliefs))
--- a/crates/usher/src/admin/nodes.rs
+++ b/crates/usher/src/admin/nodes.rs
@@ -3,6 +3,7 @@
 use crate::hall::Hall;
 use seating::peer::Row;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use viz::{Request, Response, StatusCode};
 
 fn join(v: impl Iterator<Item = String>) -> String {
@@ -41,6 +42,22 @@
     json(StatusCode::OK, node_list(&h))
 }
 
+fn rest(h: &Hall, on: bool) -> Response {
+    if h.resting.swap(on, Ordering::AcqRel) != on {
+        tracing::info!(draining = on, "an operator changed whether this node is ready");
+    }
+    json(StatusCode::OK, format!("{{\"draining\":{on}}}"))
+}
+
+/// Not ready from now on, so that the platform hands it no clients; it serves on.
+pub async fn drain(h: Arc<Hall>, _: Request) -> Response {
+    rest(&h, true)
+}
+
+pub async fn undrain(h: Arc<Hall>, _: Request) -> Response {
+    rest(&h, false)
+}
+
 pub async fn workers(h: Arc<Hall>, _: Request) -> Response {
     json(StatusCode::OK, worker_list(&h.view.load().workers))
 }
--- a/crates/usher/src/env/args.rs
+++ b/crates/usher/src/env/args.rs
@@ -14,6 +14,8 @@
     Run(Box<Env>),
     Checked(Box<Env>),
     Say(String),
+    /// A tree to print, and what was left out of it.
+    Import(String, Vec<String>),
     Wrong(Vec<Trouble>),
 }
 
@@ -26,6 +28,8 @@
         .optopt("", "zone", "zone of this machine", "NAME")
         .optmulti("", "seed", "peer address of a first contact; give three", "IP:PORT")
         .optopt("", "data", "data folder; makes this node a core", "FOLDER")
+        .optopt("", "import", "print a tree with the matches of an OpenAPI file, and stop", "FILE")
+        .optopt("", "pool", "with --import: the pool of the matches", "NAME")
         .optflag("", "check", "judge the settings, open nothing, and stop")
         .optflag("h", "help", "show this help")
         .optflag("V", "version", "show the version");
@@ -47,6 +51,14 @@
     if let Some(f) = m.free.first() {
         return Asked::Wrong(vec![Trouble::Flag(format!("unexpected word {f}"))]);
     }
+    if let Some(p) = m.opt_str("import") {
+        let pool = m.opt_str("pool").unwrap_or_else(|| "app".into());
+        let r = std::fs::read_to_string(&p).map_err(|e| e.to_string()).and_then(|s| crate::import::import(&s, &pool));
+        return match r {
+            Ok((s, out)) => Asked::Import(s, out),
+            Err(why) => Asked::Wrong(vec![Trouble::Import { file: p, why }]),
+        };
+    }
     let f = Flags {
         peer: m.opt_str("peer"),
         admin: m.opt_str("admin"),
--- a/crates/usher/src/env/read.rs
+++ b/crates/usher/src/env/read.rs
@@ -41,6 +41,8 @@
     Flag(String),
     /// --env {file}: {why}; name a file that can be read
     File { file: String, why: String },
+    /// --import {file}: {why}
+    Import { file: String, why: String },
     /// settings file: {0}
     Shape(String),
     /// {at}: unknown setting; known are {known}
--- a/crates/usher/src/hall/seat.rs
+++ b/crates/usher/src/hall/seat.rs
@@ -63,8 +63,8 @@
 
 /// The workers of a pool that may take calls, by this node's own view.
 fn table_of(v: &View, pool: &str) -> Arc<Table> {
-    let only = v.plan.pools.get(pool).and_then(|p| p.workers.as_ref());
-    let rs = v.workers.iter().filter(|r| r.pool == pool && only.is_none_or(|o| o.contains(&r.addr)));
+    let p = v.plan.pools.get(pool);
+    let rs = v.workers.iter().filter(|r| r.pool == pool && p.is_some_and(|p| p.takes(&r.wid, &r.addr)));
     Arc::new(Table::new(rs))
 }
 
--- a/crates/usher/src/hall/state.rs
+++ b/crates/usher/src/hall/state.rs
@@ -48,6 +48,8 @@
     pub tally: Arc<Tally>,
     pub disk_troubles: Option<Arc<AtomicU64>>,
     pub stopping: AtomicBool,
+    /// An operator lets this node run empty: it serves on and is not ready.
+    pub resting: AtomicBool,
     pub version: watch::Receiver<Mark>,
     pub calls: AtomicU64,
 }
--- a/crates/usher/src/lib.rs
+++ b/crates/usher/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod env;
 pub mod front;
 pub mod hall;
+pub mod import;
 pub mod link;
 pub mod serve;
--- a/crates/usher/src/main.rs
+++ b/crates/usher/src/main.rs
@@ -19,6 +19,13 @@
             println!("{s}");
             0
         }
+        Asked::Import(s, out) => {
+            println!("{s}");
+            for o in out {
+                eprintln!("left out: {o}");
+            }
+            0
+        }
         Asked::Checked(_) => {
             println!("the settings are good");
             0
@@ -109,6 +116,7 @@
         tally: tally.clone(),
         disk_troubles: disk.as_ref().map(|d| d.troubles.clone()),
         stopping: AtomicBool::new(false),
+        resting: AtomicBool::new(false),
         version: vrx,
         calls: AtomicU64::new(0),
         env,
--- a/crates/usher/tests/settings.rs
+++ b/crates/usher/tests/settings.rs
@@ -80,6 +80,24 @@
     assert!(matches!(ask(&["--nonsense".into()]), Asked::Wrong(v) if matches!(v[..], [Trouble::Flag(_)])));
 }
 
+#[test]
+fn openapi_files_become_matches() {
+    let api = r#"{"openapi":"3.0.3","info":{"title":"t","version":"1"},"paths":{
+      "/v1/slots":{"get":{"operationId":"slots","responses":{}},"post":{"responses":{},"x-kind":"lookup"}},
+      "/v1/slots/{id}":{"get":{"responses":{}}},
+      "/v1/draft":{"post":{"operationId":"draft","responses":{},"x-kind":"draft","x-resume":true}}}}"#;
+    let (s, out) = usher::import::import(api, "app").expect("imports");
+    let p = seating::config::judge(&s).expect("a good tree");
+    let m = p.find("GET", "/v1/slots").expect("a match");
+    assert!(m.name == "slots" && m.repeat && m.pool == "app");
+    assert!(p.find("POST", "/v1/slots").is_some_and(|m| m.name == "post-v1-slots" && !m.repeat));
+    assert!(p.find("POST", "/v1/draft").is_some_and(|m| m.resume));
+    assert!(p.matches.len() == 3 && out.len() == 1 && out[0].starts_with("/v1/slots/{id}"), "{out:?}");
+    for bad in ["{", "{}", &api.replace("\"draft\",\"x", "\"long\",\"x")] {
+        assert!(usher::import::import(bad, "app").is_err(), "{bad}");
+    }
+}
+
 #[test]
 fn the_program_ends_with_two_and_lists_all() {
     let run = |a: &[&str]| {
