--- a/crates/seating/src/node/accept.rs
+++ b/crates/seating/src/node/accept.rs
@@ -18,16 +18,24 @@
         self.voter()
     }
 
-    pub(super) fn on_prepare(&mut self, by: Nid, inst: Ver, bal: Ballot, now: Us) {
+    /// Takes the ballot if this core may vote and promised no higher one.
+    fn bows(&mut self, by: Nid, inst: Ver, bal: Ballot, now: Us) -> bool {
         if inst == 0 || !self.may_vote(by, inst, now) {
-            return;
+            return false;
         }
-        if bal < self.agree.prom {
-            let bal = self.agree.prom;
-            self.send(by, Msg::Refuse { inst, bal }, now);
-            return;
+        let top = self.agree.prom;
+        if bal < top {
+            self.send(by, Msg::Refuse { inst, bal: top }, now);
+            return false;
         }
         self.agree.prom = bal;
+        true
+    }
+
+    pub(super) fn on_prepare(&mut self, by: Nid, inst: Ver, bal: Ballot, now: Us) {
+        if !self.bows(by, inst, bal, now) {
+            return;
+        }
         let acc = self.agree.acc.clone();
         let then = self.mail(by, Msg::Promise { inst, bal, acc }, now);
         self.write(vec![Op::Promise { inst, bal }], then.into_iter().collect());
@@ -35,15 +43,9 @@
 
     pub(super) fn on_accept(&mut self, by: Nid, bal: Ballot, dec: Decree, now: Us) {
         let inst = dec.ver;
-        if inst == 0 || !self.may_vote(by, inst, now) {
+        if !self.bows(by, inst, bal, now) {
             return;
         }
-        if bal < self.agree.prom {
-            let bal = self.agree.prom;
-            self.send(by, Msg::Refuse { inst, bal }, now);
-            return;
-        }
-        self.agree.prom = bal;
         if self.agree.acc.is_none() {
             self.agree.acc_at = now;
         }
--- a/crates/usher/src/admin/config.rs
+++ b/crates/usher/src/admin/config.rs
@@ -152,15 +152,17 @@
     }
 }
 
+/// The base, the id, whether the id was made up here, and the body of a change.
+async fn change_of(r: Request) -> Result<(Ver, Cid, bool, String), Response> {
+    let fresh = !r.headers().contains_key("change-id");
+    let (b, c) = (base(&r)?, cid(&r)?);
+    Ok((b, c, fresh, body(r, LARGE).await?))
+}
+
 pub async fn put(h: Arc<Hall>, r: Request) -> Response {
     let dry = dry(&r);
-    let fresh = !r.headers().contains_key("change-id");
-    let (b, c) = match (base(&r), cid(&r)) {
-        (Ok(b), Ok(c)) => (b, c),
-        (Err(e), _) | (_, Err(e)) => return e,
-    };
-    let s = match body(r, LARGE).await {
-        Ok(s) => s,
+    let (b, c, fresh, s) = match change_of(r).await {
+        Ok(x) => x,
         Err(r) => return r,
     };
     if let Err(v) = judge(&s) {
@@ -234,13 +236,8 @@
 }
 
 pub async fn put_cores(h: Arc<Hall>, r: Request) -> Response {
-    let fresh = !r.headers().contains_key("change-id");
-    let (b, c) = match (base(&r), cid(&r)) {
-        (Ok(b), Ok(c)) => (b, c),
-        (Err(e), _) | (_, Err(e)) => return e,
-    };
-    let s = match body(r, LARGE).await {
-        Ok(s) => s,
+    let (b, c, fresh, s) = match change_of(r).await {
+        Ok(x) => x,
         Err(r) => return r,
     };
     let Ok(v) = sonic_rs::from_str::<Value>(&s) else {
