--- a/crates/rehearsal/src/sim/drive.rs
+++ b/crates/rehearsal/src/sim/drive.rs
@@ -68,6 +68,8 @@
         if calm {
             w.cuts.clear();
             w.loss = (0, 0);
+            w.jam = 0;
+            w.holds.clear();
             for s in &mut w.slots {
                 s.frozen = s.frozen.min(t);
                 s.disk.stuck = 0;
@@ -123,7 +125,7 @@
         });
         if now > begin + 3 * SEC && w.rng.below(1000) < r.profile.changes {
             o.change(&mut w);
-            if r.profile.name == "races" {
+            if matches!(r.profile.name, "races" | "stalls") {
                 o.change(&mut w);
             }
         }
@@ -334,6 +336,29 @@
                 }
             }
         }
+        Fault::Jam => {
+            w.say(format!("frames jammed for {d}"));
+            w.jam = now + d;
+            w.loss = (5, now + d);
+        }
+        Fault::Hold => {
+            if let Some(i) = some(w, |_, _| true) {
+                w.say(format!("frames of {} held for {d}", w.slots[i].addr));
+                w.holds.insert(i, now + d);
+            }
+        }
+        Fault::Sleep => {
+            if let Some(i) = some(w, |w, i| up(w, i) && w.slots[i].frozen <= now) {
+                w.say(format!("{} sleeps for {}", w.slots[i].addr, 2 * d));
+                w.slots[i].frozen = now + 2 * d;
+            }
+        }
+        Fault::SlowDisks => {
+            w.say(format!("all disks slow for {d}"));
+            for s in w.slots.iter_mut().filter(|s| s.core) {
+                s.disk.slow = now + d;
+            }
+        }
         Fault::Lossy => {
             w.say(format!("one frame in ten lost for {d}"));
             w.loss = (10, now + d);
--- a/crates/rehearsal/src/sim/faults.rs
+++ b/crates/rehearsal/src/sim/faults.rs
@@ -17,6 +17,14 @@
     WipeCore,
     Zone,
     Lossy,
+    /// Frames overtake one another and come late, some not at all.
+    Jam,
+    /// What is sent to and from one machine comes when the hold ends, as from a stalled wire.
+    Hold,
+    /// A machine sleeps for longer than anything may be believed.
+    Sleep,
+    /// All cores' disks are slow at once.
+    SlowDisks,
     Workers,
 }
 
@@ -30,8 +38,8 @@
 }
 
 use Fault::{
-    CutCore, CutNode, Freeze, FreezeCore, KillCore, KillFront, KillMany, Lossy, OneWay, SlowDisk, SplitCores,
-    StallDisk, WipeCore, Workers, Zone,
+    CutCore, CutNode, Freeze, FreezeCore, Hold, Jam, KillCore, KillFront, KillMany, Lossy, OneWay, Sleep, SlowDisk,
+    SlowDisks, SplitCores, StallDisk, WipeCore, Workers, Zone,
 };
 
 impl Profile {
@@ -39,7 +47,8 @@
         Profile { name: "calm", faults: &[], secs: 30, changes: 8 },
         Profile { name: "races", faults: &[], secs: 30, changes: 120 },
         Profile { name: "kills", faults: &[KillCore, KillFront], secs: 60, changes: 20 },
-        Profile { name: "power", faults: &[KillMany, KillCore, SlowDisk], secs: 60, changes: 30 },
+        Profile { name: "power", faults: &[KillMany, KillCore, SlowDisk, SlowDisks], secs: 60, changes: 30 },
+        Profile { name: "stalls", faults: &[Hold, Jam, Sleep], secs: 60, changes: 60 },
         Profile { name: "cuts", faults: &[CutNode, CutCore, OneWay, SplitCores], secs: 60, changes: 20 },
         Profile { name: "freezes", faults: &[Freeze, FreezeCore], secs: 60, changes: 20 },
         Profile { name: "disks", faults: &[SlowDisk, StallDisk], secs: 60, changes: 30 },
@@ -50,7 +59,7 @@
             name: "storm",
             faults: &[
                 KillCore, KillFront, KillMany, CutNode, CutCore, SplitCores, OneWay, Freeze, FreezeCore, SlowDisk,
-                StallDisk, WipeCore, Zone, Lossy, Workers,
+                StallDisk, WipeCore, Zone, Lossy, Workers, Jam, Hold, SlowDisks,
             ],
             secs: 90,
             changes: 40,
--- a/crates/rehearsal/src/sim/world.rs
+++ b/crates/rehearsal/src/sim/world.rs
@@ -49,6 +49,9 @@
     /// Pairs of machines between which nothing passes, until when.
     pub cuts: BTreeMap<(usize, usize), Us>,
     pub loss: (u64, Us),
+    pub jam: Us,
+    /// Machines whose frames wait until then.
+    pub holds: BTreeMap<usize, Us>,
     pub frames: u64,
     pub bytes: u64,
     /// Frames and bytes between zones by the kind of message.
@@ -73,6 +76,8 @@
             answers: Vec::new(),
             cuts: BTreeMap::new(),
             loss: (0, 0),
+            jam: 0,
+            holds: BTreeMap::new(),
             frames: 0,
             bytes: 0,
             far: BTreeMap::new(),
@@ -251,8 +256,10 @@
         }
         let near = self.slots[i].zone == self.slots[j].zone;
         let lat = if near { 100 + self.rng.below(400) } else { 500 + self.rng.below(2_000) };
-        let jam = if self.rng.chance(1) { self.rng.below(200 * MS) } else { 0 };
-        self.push(self.now + lat + jam, Happen::Frame(j, b));
+        let jammed = self.jam > self.now;
+        let jam = if self.rng.chance(if jammed { 40 } else { 1 }) { self.rng.below(200 * MS) } else { 0 };
+        let held = [i, j].iter().filter_map(|k| self.holds.get(k)).max().copied().unwrap_or(0);
+        self.push(held.max(self.now) + lat + jam, Happen::Frame(j, b));
     }
 
     /// Runs the world on until `until`.
--- a/crates/rehearsal/tests/sim.rs
+++ b/crates/rehearsal/tests/sim.rs
@@ -51,6 +51,11 @@
     seeds("freezes", [121, 129, 134, 145, 163, 203, 210, 250].into_iter().chain(1..7));
 }
 
+#[test]
+fn wires_stall_and_machines_sleep() {
+    seeds("stalls", 1..13);
+}
+
 #[test]
 fn disks_are_slow_stall_and_fill() {
     seeds("disks", 1..9);
