--- a/crates/rehearsal/src/fleet/nodes.rs
+++ b/crates/rehearsal/src/fleet/nodes.rs
@@ -182,6 +182,20 @@
         }
     }
 
+    /// Lets a core's file grow no further, or lets it grow again; its log is smaller.
+    pub fn full(&self, i: usize, full: bool) {
+        let wal = self.nodes[i].dir.join("data").join("usher.db-wal");
+        let now = std::fs::metadata(wal).map_or(0, |m| m.len());
+        let n = if full { now } else { libc::RLIM_INFINITY };
+        let l = libc::rlimit { rlim_cur: n, rlim_max: libc::RLIM_INFINITY };
+        if let Some(p) = self.nodes[i].pid() {
+            // SAFETY: the process is a child of ours, and `l` outlives the call.
+            unsafe {
+                libc::prlimit(p, libc::RLIMIT_FSIZE, &raw const l, std::ptr::null_mut());
+            }
+        }
+    }
+
     pub async fn kill(&mut self, i: usize) {
         self.signal(i, libc::SIGKILL);
         self.wait(i).await;
--- a/crates/rehearsal/tests/trials.rs
+++ b/crates/rehearsal/tests/trials.rs
@@ -404,6 +404,43 @@
     });
 }
 
+#[test]
+fn a_full_disk_takes_a_core_out_of_the_votes_until_there_is_room() {
+    trial(async {
+        let (mut f, _ws, _log) = small().await?;
+        f.full(0, true);
+        // The other two carry changes and quotas on.
+        for n in 1..4 {
+            let v = change(&f, 3 + n % 2, &tree(SMALL, n, &[])).await?;
+            f.spread(v, Duration::from_secs(2)).await?;
+            let o = caller(&f, "/v1/chat", 0).call(&f.nodes[3].front(), &format!("f{n}"), "x").await;
+            want(o.seen == Seen::Whole, format!("{:?}", o.seen))?;
+        }
+        let t = Instant::now();
+        loop {
+            let n = f.metrics(0).await.into_iter().find(|x| x.0 == "usher_disk_troubles_total").map_or(0, |x| x.1);
+            if n > 0 {
+                break;
+            }
+            want(t.elapsed() < Duration::from_secs(5), "no trouble was counted")?;
+        }
+        want(f.log(0).contains("the disk takes no writes"), "no trouble was logged")?;
+        // With another core gone no majority can write: nothing is accepted.
+        f.kill(1).await;
+        let v = f.version(3).await.unwrap_or(0);
+        let tag = format!("\"{v}\"");
+        let (s, b) = f.admin(3, Method::PUT, "/v1/config", &[("if-match", tag.as_str())], &tree(SMALL, 5, &[])).await?;
+        want(matches!(s, 503 | 504), format!("{s} {b}"))?;
+        f.full(0, false);
+        let t = Instant::now();
+        while change(&f, 3, &tree(SMALL, 6, &[])).await.is_err() {
+            want(t.elapsed() < Duration::from_secs(12), "no change is accepted with room again")?;
+        }
+        println!("changes again {} ms after there was room", t.elapsed().as_millis());
+        want(f.log(0).contains("the disk takes writes again"), "the end of the trouble was not logged")
+    });
+}
+
 #[test]
 fn operators_drain_workers_and_nodes() {
     trial(async {
--- a/crates/usher/src/main.rs
+++ b/crates/usher/src/main.rs
@@ -37,7 +37,12 @@
             2
         }
         Asked::Run(e) => {
-            tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false).with_target(false).init();
+            tracing_subscriber::fmt()
+                .with_writer(std::io::stderr)
+                .with_ansi(false)
+                .with_target(false)
+                .log_internal_errors(false)
+                .init();
             match run(*e) {
                 Ok(()) => 0,
                 Err((c, t)) => {
@@ -64,6 +69,11 @@
 }
 
 fn run(env: Env) -> Result<(), Stop> {
+    // A file that may not grow is a trouble of the disk, which is told and tried again.
+    // SAFETY: ignoring a signal touches no memory of ours.
+    unsafe {
+        libc::signal(libc::SIGXFSZ, libc::SIG_IGN);
+    }
     let seed = random()?;
     let (stx, synced) = mpsc::unbounded_channel();
     let (mut disk, mut kept, mut inc, mut nid) = (None, seating::agree::Kept::default(), 1, Nid(seed));
@@ -126,13 +136,20 @@
     std::thread::Builder::new()
         .name("control".into())
         .spawn(move || {
-            let Ok(rt) = tokio::runtime::Builder::new_current_thread().enable_all().build() else { return };
-            let set = tokio::task::LocalSet::new();
-            set.block_on(&rt, async move {
-                if let Ok(l) = TcpListener::from_std(peer) {
-                    brain.run(l).await;
-                }
-            });
+            let go = || {
+                let rt = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+                let set = tokio::task::LocalSet::new();
+                set.block_on(&rt, async move {
+                    brain.run(TcpListener::from_std(peer)?).await;
+                    std::io::Result::Ok(())
+                })
+            };
+            // A node that knows nothing new must not go on as if it did.
+            let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(go));
+            if !matches!(r, Ok(Ok(()))) {
+                tracing::error!("the control thread ended; this process ends with it, start it again");
+                std::process::exit(70);
+            }
         })
         .map_err(|e| (1, format!("no thread for control: {e}")))?;
     rt.block_on(live(hall, al, dl))
