A stream that broke before its first piece is not begun anew; full disks tried

Now it ends visibly broken, unless the match says it may be repeated. With a full disk, logs and data alike, a core stayed up and learned nothing more: the log's own report of its trouble panicked in the control thread and in the handler of that. Ruled out: SQLite (with room for the log alone it failed and came back as it should).

--- a/crates/rehearsal/src/fleet/nodes.rs
+++ b/crates/rehearsal/src/fleet/nodes.rs
@@ -182,12 +182,15 @@
         }
     }
 
-    /// Lets a core's file grow no further, or lets it grow again; its log is smaller.
-    pub fn full(&self, i: usize, full: bool) {
+    /// How far a core's file has grown.
+    pub fn written(&self, i: usize) -> u64 {
         let wal = self.nodes[i].dir.join("data").join("usher.db-wal");
-        let now = std::fs::metadata(wal).map_or(0, |m| m.len());
-        let n = if full { now } else { libc::RLIM_INFINITY };
-        let l = libc::rlimit { rlim_cur: n, rlim_max: libc::RLIM_INFINITY };
+        std::fs::metadata(wal).map_or(0, |m| m.len())
+    }
+
+    /// Lets the files of a node grow no further than this, as on a full disk.
+    pub fn limit(&self, i: usize, most: Option<u64>) {
+        let l = libc::rlimit { rlim_cur: most.unwrap_or(libc::RLIM_INFINITY), rlim_max: libc::RLIM_INFINITY };
         if let Some(p) = self.nodes[i].pid() {
             // SAFETY: the process is a child of ours, and `l` outlives the call.
             unsafe {
--- a/crates/rehearsal/tests/trials.rs
+++ b/crates/rehearsal/tests/trials.rs
@@ -174,11 +174,14 @@
         let mut n = 0;
         // Every worker of a pool behaves alike, so that a second try meets the same.
         type Case = (&'static str, Mode, &'static str, fn(&Seen) -> bool);
-        let cases: [Case; 6] = [
+        let cases: [Case; 7] = [
             ("well", Mode::Well, "/v1/draft", |s| *s == Seen::Whole),
             ("cut, resumed", Mode::Cut(5), "/v1/draft", |s| matches!(s, Seen::Whole | Seen::Broken { .. })),
             ("cut, not to be resumed", Mode::Cut(5), "/v1/chat", |s| matches!(s, Seen::Broken { pieces: 5 })),
             ("cut at the first piece", Mode::Cut(0), "/v1/chat", |s| matches!(s, Seen::Broken { pieces: 0 })),
+            ("cut before anything could be resumed", Mode::Cut(0), "/v1/draft", |s| {
+                matches!(s, Seen::Broken { pieces: 0 })
+            }),
             (
                 "mute",
                 Mode::Mute,
@@ -408,8 +411,18 @@
 fn a_full_disk_takes_a_core_out_of_the_votes_until_there_is_room() {
     trial(async {
         let (mut f, _ws, _log) = small().await?;
-        f.full(0, true);
-        // The other two carry changes and quotas on.
+        // Nothing can be written at all, not even the log: the core still learns.
+        f.limit(0, Some(0));
+        let v = change(&f, 4, &tree(SMALL, 9, &[])).await?;
+        f.spread(v, Duration::from_secs(2)).await?;
+        f.limit(0, None);
+        let t = Instant::now();
+        while !f.log(0).contains("the disk takes writes again") {
+            want(t.elapsed() < Duration::from_secs(5), "the disk is not used again")?;
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        f.limit(0, Some(f.written(0)));
+        // Now its log has room and its data has none. The other two carry changes and quotas on.
         for n in 1..4 {
             let v = change(&f, 3 + n % 2, &tree(SMALL, n, &[])).await?;
             f.spread(v, Duration::from_secs(2)).await?;
@@ -431,7 +444,7 @@
         let tag = format!("\"{v}\"");
         let (s, b) = f.admin(3, Method::PUT, "/v1/config", &[("if-match", tag.as_str())], &tree(SMALL, 5, &[])).await?;
         want(matches!(s, 503 | 504), format!("{s} {b}"))?;
-        f.full(0, false);
+        f.limit(0, None);
         let t = Instant::now();
         while change(&f, 3, &tree(SMALL, 6, &[])).await.is_err() {
             want(t.elapsed() < Duration::from_secs(12), "no change is accepted with room again")?;
--- a/crates/usher/src/disk/desk.rs
+++ b/crates/usher/src/disk/desk.rs
@@ -24,7 +24,7 @@
         let (tx, rx): (Sender<Job>, Receiver<Job>) = channel();
         let troubles = Arc::new(AtomicU64::new(0));
         let t = troubles.clone();
-        std::thread::Builder::new().name("disk".into()).spawn(move || {
+        let work = move || {
             while let Ok(j) = rx.recv() {
                 let mut js = vec![j];
                 while js.len() < 256
@@ -47,6 +47,11 @@
                 }
                 done(tok);
             }
+        };
+        std::thread::Builder::new().name("disk".into()).spawn(move || {
+            if std::panic::catch_unwind(std::panic::AssertUnwindSafe(work)).is_err() {
+                crate::fall("the disk thread ended");
+            }
         })?;
         Ok(Desk { tx, troubles })
     }
--- a/crates/usher/src/front/flow.rs
+++ b/crates/usher/src/front/flow.rs
@@ -181,7 +181,9 @@
         let m = self.ask.who.m.clone();
         let h = self.ask.hall.clone();
         let Some(last) = self.pieces.as_ref().filter(|_| m.resume).map(|p| p.last()) else { return false };
-        if (self.begun && last.is_none()) || !h.budget.second() {
+        // Nothing to go on from would be a run from the beginning: only where that is safe.
+        let anew = last.is_none() && (self.begun || !m.repeat);
+        if anew || !h.budget.second() {
             Counts::add(&h.counts.tries_denied);
             return false;
         }
--- a/crates/usher/src/lib.rs
+++ b/crates/usher/src/lib.rs
@@ -10,3 +10,11 @@
 pub mod import;
 pub mod link;
 pub mod serve;
+
+use std::io::Write;
+
+/// A node that lost a thread it can't do without must not go on as if it had it.
+pub fn fall(why: &str) -> ! {
+    let _ = writeln!(std::io::stderr(), "usher: {why}; this process ends with it, start it again");
+    std::process::exit(70)
+}
--- a/crates/usher/src/main.rs
+++ b/crates/usher/src/main.rs
@@ -147,8 +147,7 @@
             // A node that knows nothing new must not go on as if it did.
             let r = std::panic::catch_unwind(std::panic::AssertUnwindSafe(go));
             if !matches!(r, Ok(Ok(()))) {
-                tracing::error!("the control thread ended; this process ends with it, start it again");
-                std::process::exit(70);
+                usher::fall("the control thread ended");
             }
         })
         .map_err(|e| (1, format!("no thread for control: {e}")))?;
