--- /dev/null
+++ b/crates/rehearsal/src/lookups.rs
@@ -0,0 +1,75 @@
+//! What a lookup costs and which layer answers it, under the brief's mix of keys.
+
+use seating::base::{Rng, Us, Ver};
+use seating::cache::{Ctx, L1, L2, Opts, Step, Ttl, get};
+use std::sync::Arc;
+use std::time::Instant;
+
+/// Lookups by layer (L1, L2, fetch), and nanoseconds for each lookup on a thread.
+pub struct Cost {
+    pub by: [u64; 3],
+    pub ns: u64,
+    pub held: (usize, usize),
+}
+
+/// Eight tenants, two of them with over half of the calls, and `strange` percent of
+/// keys that nobody has; a version changes after every `turn` lookups.
+pub fn run(threads: u64, each: u64, strange: u64, turn: u64) -> Cost {
+    let o = Opts::default();
+    let l2 = Arc::new(L2::<Arc<u64>>::new(o.clone()));
+    let ts: Vec<_> = (0..threads)
+        .map(|t| {
+            let (l2, o) = (l2.clone(), o.clone());
+            std::thread::spawn(move || one(t, each, strange, turn, &l2, &o))
+        })
+        .collect();
+    let mut by = [0; 3];
+    let mut ns = 0;
+    for t in ts {
+        if let Ok((b, n)) = t.join() {
+            for (x, y) in by.iter_mut().zip(b) {
+                *x += y;
+            }
+            ns += n;
+        }
+    }
+    Cost { by, ns: ns / threads.max(1), held: l2.size() }
+}
+
+fn one(t: u64, each: u64, strange: u64, turn: u64, l2: &L2<Arc<u64>>, o: &Opts) -> ([u64; 3], u64) {
+    let mut l1 = L1::new(o);
+    let mut r = Rng::new(t + 1);
+    let known: Vec<String> = (0..8).map(|i| format!("{i:064x}")).collect();
+    let mut by = [0u64; 3];
+    let begin = Instant::now();
+    for n in 0..each {
+        let fresh;
+        let k = if r.chance(strange) {
+            fresh = format!("{:064x}", r.draw());
+            &fresh
+        } else {
+            let i = if r.chance(55) { r.below(2) } else { r.below(8) };
+            &known[usize::try_from(i).unwrap_or(0)]
+        };
+        // A call a millisecond on each thread.
+        let c = Ctx { now: n * 1_000 as Us, ver: (n / turn) as Ver };
+        l1.update(&l2.log, || c.now);
+        loop {
+            match get(&mut l1, l2, k, c) {
+                Step::Found(f) => by[usize::from(f.level.min(3)) - 1] += 1,
+                Step::Fetch(l) => {
+                    let v = known.contains(k).then(|| Arc::new(n));
+                    let _ = l2.finish(&mut l1, k, &l, Ok((v, Ttl::Usual)), 320, c);
+                    by[2] += 1;
+                }
+                Step::Wait => {
+                    std::hint::spin_loop();
+                    continue;
+                }
+            }
+            break;
+        }
+    }
+    let ns = u64::try_from(begin.elapsed().as_nanos()).unwrap_or(0) / each.max(1);
+    (by, ns)
+}
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -6,7 +6,8 @@
 
 Usage:
   rehearsal fleet [flags]   processes of usher on loopback, with traffic and troubles
-  rehearsal sim [flags]     the core in virtual time, from seeds";
+  rehearsal sim [flags]     the core in virtual time, from seeds
+  rehearsal lookups         what a lookup in the layered cache costs";
 
 fn main() {
     let a: Vec<String> = std::env::args().skip(1).collect();
@@ -61,7 +62,23 @@
                 m.opt_present("trace"),
             )
         }
-        w => stop(&format!("{w}: use fleet or sim")),
+        "lookups" => {
+            for strange in [0, 2, 20, 90] {
+                let c = rehearsal::lookups::run(4, 500_000, strange, 50_000);
+                let pct = |n: u64| n as f64 * 100.0 / c.by.iter().sum::<u64>() as f64;
+                println!(
+                    "{strange:2} % unknown keys: L1 {:6.3} %  L2 {:6.3} %  fetched {:6.3} %  {} ns a lookup  held {} and {} misses",
+                    pct(c.by[0]),
+                    pct(c.by[1]),
+                    pct(c.by[2]),
+                    c.ns,
+                    c.held.0,
+                    c.held.1
+                );
+            }
+            false
+        }
+        w => stop(&format!("{w}: use fleet, sim or lookups")),
     };
     if bad {
         std::process::exit(1);
