Simulated clocks run at different rates, up to a thousandth apart

Cause: the bounds of freshness, terms and slices rest on clocks that agree about durations; the simulator gave every machine the same rate. Change: machines run at 0, 500 and 1000 millionths fast. No change to the product.

--- a/crates/rehearsal/src/sim/drive.rs
+++ b/crates/rehearsal/src/sim/drive.rs
@@ -170,10 +170,10 @@
         }
         let s = &w.slots[i];
         let Some(n) = &s.node else { continue };
-        if !n.is_fresh(now + s.off) {
+        if !n.is_fresh(s.clock(now)) {
             continue;
         }
-        let ws: Vec<_> = n.news.live(now + s.off).map(|r| (r.wid.clone(), r.inc)).collect();
+        let ws: Vec<_> = n.news.live(s.clock(now)).map(|r| (r.wid.clone(), r.inc)).collect();
         let v = n.ver().unwrap_or(0);
         let a = s.addr.clone();
         w.check.admits(&a, v, now);
@@ -191,7 +191,7 @@
     let bad: Vec<_> = (0..w.slots.len())
         .filter(|i| {
             let s = &w.slots[*i];
-            s.node.as_ref().is_none_or(|n| !n.is_fresh(w.now + s.off))
+            s.node.as_ref().is_none_or(|n| !n.is_fresh(s.clock(w.now)))
         })
         .map(|i| w.slots[i].addr.clone())
         .collect();
--- a/crates/rehearsal/src/sim/ops.rs
+++ b/crates/rehearsal/src/sim/ops.rs
@@ -171,10 +171,10 @@
         let now = w.now;
         let s = &w.slots[i];
         let n = s.node.as_ref()?;
-        if !n.is_fresh(now + s.off) {
+        if !n.is_fresh(s.clock(now)) {
             return None;
         }
-        let r = n.slices.take(t, now + s.off);
+        let r = n.slices.take(t, s.clock(now));
         if let Take::Took { win, low } = r {
             self.taken += 1;
             w.check.took.push(Took { tenant: t.to_owned(), win, at: now });
--- a/crates/rehearsal/src/sim/world.rs
+++ b/crates/rehearsal/src/sim/world.rs
@@ -16,11 +16,20 @@
     pub life: u64,
     /// This machine's clock against true time.
     pub off: Us,
+    /// By how many millionths it runs fast.
+    pub fast: Us,
     pub frozen: Us,
     pub shown: Option<Ver>,
     pub wakes: BTreeSet<String>,
 }
 
+impl Slot {
+    /// What this machine's clock shows.
+    pub fn clock(&self, now: Us) -> Us {
+        now + self.off + now * self.fast / 1_000_000
+    }
+}
+
 #[derive(Debug)]
 pub enum Happen {
     Tick(usize, u64),
@@ -87,6 +96,8 @@
             n: 0,
             next_ip: 1,
         };
+        // Clocks of one fleet may differ by a thousandth, ten times what quartz does.
+        let fast = [0, 1_000, 500];
         for i in 0..cores + fronts {
             let addr = w.address();
             let off = w.rng.below(1_000 * SEC);
@@ -98,6 +109,7 @@
                 disk: Disk::default(),
                 life: 0,
                 off,
+                fast: fast[i % 3],
                 frozen: 0,
                 shown: None,
                 wakes: BTreeSet::new(),
@@ -157,7 +169,7 @@
         s.frozen = 0;
         s.shown = None;
         let kept = if s.core { s.disk.kept.clone() } else { Default::default() };
-        s.node = Some(Node::new(me, &kept, seed, now + s.off));
+        s.node = Some(Node::new(me, &kept, seed, s.clock(now)));
         let life = s.life;
         let d = self.rng.below(TICK);
         self.push(now + d, Happen::Tick(i, life));
@@ -200,8 +212,9 @@
     pub fn step(&mut self, i: usize, e: Event) {
         let now = self.now;
         let s = &mut self.slots[i];
+        let at = s.clock(now);
         let Some(n) = s.node.as_mut() else { return };
-        let es = n.step(e, now + s.off);
+        let es = n.step(e, at);
         for e in es {
             self.carry(i, e);
         }
