--- a/crates/seating/src/quota/slices.rs
+++ b/crates/seating/src/quota/slices.rs
@@ -19,11 +19,20 @@
     looked: u64,
     since: Us,
     rate: u64,
-    waiting: u64,
     asked: Us,
     last: Us,
 }
 
+impl Slice {
+    /// A later window begins: only what is known of the demand goes on.
+    fn turn(&mut self, win: u64) {
+        if win > self.win {
+            let Slice { looked, since, rate, asked, last, .. } = *self;
+            *self = Slice { win, looked, since, rate, asked, last, ..Slice::default() };
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Take {
     /// Taken from this window; more should be fetched if `low`.
@@ -94,7 +103,6 @@
             s.rate = s.rate.max(s.looked);
         }
         s.asked = now;
-        s.waiting = waiting;
         let want = waiting.max(1) + s.rate.saturating_sub(s.free.min(s.rate));
         (want, s.win, s.ret)
     }
@@ -106,17 +114,7 @@
         if win < s.win {
             return;
         }
-        if win > s.win {
-            *s = Slice {
-                win,
-                looked: s.looked,
-                since: s.since,
-                rate: s.rate,
-                asked: s.asked,
-                last: s.last,
-                ..Slice::default()
-            };
-        }
+        s.turn(win);
         if cum > s.got {
             s.free += cum - s.got;
             s.got = cum;
@@ -129,19 +127,8 @@
         let mut g = self.at(t);
         let s = g.entry(t.to_owned()).or_default();
         if win >= s.win {
+            s.turn(win);
             s.spent = until.min(now + 200 * MS);
-            if win > s.win {
-                *s = Slice {
-                    win,
-                    spent: s.spent,
-                    looked: s.looked,
-                    since: s.since,
-                    rate: s.rate,
-                    asked: s.asked,
-                    last: s.last,
-                    ..Slice::default()
-                };
-            }
             s.until = s.until.max(until);
         }
     }
