The judge holds each window's units to its own time, and looks for what is left held

Cause: a count by window can't see a unit used after its window, and nobody looked for places or waits that a call left behind. Both are judged now; the worker that ends its responses by the close does so too early, as a crash does. Planted cases added.

--- a/crates/rehearsal/src/sim/drive.rs
+++ b/crates/rehearsal/src/sim/drive.rs
@@ -197,6 +197,7 @@
         }
     }
     let rec = recover(&mut w, &mut o, end);
+    empty(&mut w);
     w.check.end();
     for i in 0..w.slots.len() {
         w.drop_calls(i);
@@ -273,6 +274,19 @@
     }
 }
 
+/// When all calls have ended nothing is held for them: no place, no wait.
+fn empty(w: &mut World) {
+    w.run(w.now + 8 * SEC);
+    for s in &w.slots {
+        let f = &s.hall.floor;
+        let held = (f.loads.own(), f.waiting(), s.hall.lives.len());
+        if s.node.is_some() && held != (0, (0, 0), 0) {
+            let t = format!("{} holds {held:?} (places, waits, calls) when all calls have ended", s.addr);
+            w.check.breaches.push(Breach(t));
+        }
+    }
+}
+
 /// Twelve seconds after the last fault all must serve again.
 fn recover(w: &mut World, o: &mut Ops, end: Us) -> Option<Us> {
     let bad: Vec<_> = (0..w.slots.len())
--- a/crates/rehearsal/src/sim/judge.rs
+++ b/crates/rehearsal/src/sim/judge.rs
@@ -19,6 +19,9 @@
     pub slept: Vec<(usize, Us, Us)>,
 }
 
+/// How long a call is under way to its worker, and how far clocks may differ over a window.
+const WIRE: Us = 10_000;
+
 /// Paths whose calls must not run twice.
 pub fn once(path: &str) -> bool {
     matches!(path, "/v1/chat" | "/v1/summary" | "/v1/book")
@@ -92,17 +95,20 @@
     }
 }
 
-/// A call counts in the window that its unit belongs to, wherever it runs.
+/// A call counts in the window that its unit belongs to, and runs while that lasts.
 fn quotas(by: &BTreeMap<u64, Vec<&Ran>>, law: &Law, out: &mut Vec<String>) {
-    let mut used: BTreeMap<(&str, u64), u64> = BTreeMap::new();
+    let mut used: BTreeMap<(&str, u64), Vec<Us>> = BTreeMap::new();
     for rs in by.values() {
-        *used.entry((&rs[0].tenant, rs[0].win)).or_default() += 1;
+        used.entry((&rs[0].tenant, rs[0].win)).or_default().push(rs[0].at);
     }
-    for ((t, w), n) in used {
-        if let Some((q, _)) = law.quotas.get(t)
-            && n > *q
-        {
-            out.push(format!("{t} ran {n} of {q} calls in window {w}"));
+    for ((t, win), at) in used {
+        let Some((q, len)) = law.quotas.get(t) else { continue };
+        if at.len() as u64 > *q {
+            out.push(format!("{t} ran {} of {q} calls in window {win}", at.len()));
+        }
+        let (a, b) = (at.iter().min().copied().unwrap_or(0), at.iter().max().copied().unwrap_or(0));
+        if b - a > len + WIRE {
+            out.push(format!("{t} ran calls over {} us with units of window {win}", b - a));
         }
     }
 }
--- a/crates/rehearsal/src/sim/workers.rs
+++ b/crates/rehearsal/src/sim/workers.rs
@@ -17,7 +17,7 @@
     Mute,
     /// Breaks responses off, in the middle of a piece.
     Cut,
-    /// Ends responses whose end can't be told from a break.
+    /// Ends its responses too early, in such a way that the end can't be told from a break.
     Bare,
     /// Takes no call, and says so.
     Decline,
@@ -241,6 +241,8 @@
             again = MS;
         } else if r.mode == Mode::Cut && (of == 0 || (r.half && r.next > 2)) {
             return self.back(k, r.to, Event::Broke);
+        } else if r.mode == Mode::Bare && r.next > 1 {
+            return self.back(k, r.to, Event::End);
         } else if r.next < of {
             let at = if r.mode == Mode::Skip && r.path == "/v1/draft" && r.next == 5 { r.next + 1 } else { r.next };
             let s = piece(r.to.call, at, of);
--- a/crates/rehearsal/tests/sim.rs
+++ b/crates/rehearsal/tests/sim.rs
@@ -271,6 +271,13 @@
             law.clone(),
             "ran 3 of 2 calls in window 1",
         ),
+        (
+            "an old unit",
+            vec![],
+            vec![Ran { at: 2 * SEC, ..ran(1, "/v1/chat") }, Ran { at: 4 * SEC, ..ran(2, "/v1/chat") }],
+            law.clone(),
+            "units of window 1",
+        ),
         ("second tries", vec![], vec![], Law { tries: (100, 21), ..law.clone() }, "21 second tries"),
     ];
     for (name, seen, ran, law, want) in cases {
