--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -1,6 +1,6 @@
 use getopts::Options;
 use rehearsal::fleet::{Shape, rehearse};
-use rehearsal::sim::{Profile, Run, run};
+use rehearsal::sim::{Day, Profile, Run, run};
 
 const HELP: &str = "rehearsal: tries a sumacvale fleet on this machine
 
@@ -12,7 +12,7 @@
 fn main() {
     let a: Vec<String> = std::env::args().skip(1).collect();
     let mut o = Options::new();
-    o.optopt("", "deployment", "mtatsminda or derwent", "NAME")
+    o.optopt("", "deployment", "mtatsminda or derwent (sim: its whole day, with --profile day)", "NAME")
         .optopt("", "seconds", "how long traffic runs", "N")
         .optopt("", "seed", "the first seed", "N")
         .optopt("", "seeds", "how many seeds", "N")
@@ -58,6 +58,11 @@
                 num("seed", 1),
                 num("seeds", 5),
                 p.as_deref(),
+                m.opt_str("deployment").map(|n| match n.as_str() {
+                    "mtatsminda" => Day::MTATSMINDA,
+                    "derwent" => Day::DERWENT,
+                    _ => stop("--deployment: use mtatsminda or derwent"),
+                }),
                 usize::try_from(num("fronts", 6)).unwrap_or(6),
                 m.opt_present("trace"),
             )
@@ -104,12 +109,15 @@
     }
 }
 
-fn sim(from: u64, n: u64, only: Option<&str>, fronts: usize, trace: bool) -> bool {
+fn sim(from: u64, n: u64, only: Option<&str>, day: Option<Day>, fronts: usize, trace: bool) -> bool {
     let mut bad = false;
     for p in Profile::ALL.iter().filter(|p| only.is_none_or(|o| o == p.name)) {
         for seed in from..from + n {
             let t = std::time::Instant::now();
-            let s = run(Run { fronts, ..Run::new(seed, p) });
+            let s = run(match day.filter(|_| p.name == "day") {
+                Some(d) => Run::day(seed, d),
+                None => Run { fronts, ..Run::new(seed, p) },
+            });
             let at = |v: &[u64], q: usize| {
                 let mut v = v.to_vec();
                 v.sort_unstable();
@@ -141,7 +149,7 @@
                 t.elapsed().as_millis(),
                 s.breaches.len()
             );
-            println!("    ends: {:?}", s.ends);
+            println!("    ends: {:?} serving again after {:?} ms", s.ends, s.serving.map(|t| t / 1_000));
             if trace {
                 for (k, (n, b)) in &s.far {
                     println!("    between zones: {k:10} {n:7} frames {b:9} bytes");
--- a/crates/rehearsal/src/sim/drive.rs
+++ b/crates/rehearsal/src/sim/drive.rs
@@ -1,4 +1,5 @@
 use super::check::Breach;
+use super::day::{Day, HOUR};
 use super::faults::{Fault, Profile};
 use super::judge::{Law, judge, needless, worst};
 use super::lives::Seen;
@@ -16,11 +17,18 @@
     pub workers: usize,
     /// How likely a tenant has a call in each ten milliseconds.
     pub load: u64,
+    /// A whole day in the place of drawn faults.
+    pub day: Option<Day>,
 }
 
 impl Run {
+    pub fn day(seed: u64, d: Day) -> Self {
+        let p = Profile::named("day").unwrap_or(&Profile::ALL[0]);
+        Run { fronts: d.fronts, workers: d.models, day: Some(d), ..Run::new(seed, p) }
+    }
+
     pub fn new(seed: u64, profile: &'static Profile) -> Self {
-        Run { seed, profile, cores: 3, fronts: 6, workers: 6, load: 45 }
+        Run { seed, profile, cores: 3, fronts: 6, workers: 6, load: 45, day: None }
     }
 }
 
@@ -49,6 +57,8 @@
     /// How long calls took to reach a worker.
     pub held: Vec<Us>,
     pub recovered: Option<Us>,
+    /// When, after the last fault, the last of the fronts had served a call again.
+    pub serving: Option<Us>,
     pub frames: u64,
     pub bytes: u64,
     pub far: std::collections::BTreeMap<String, (u64, u64)>,
@@ -61,6 +71,9 @@
     swap: bool,
 }
 
+/// After a fault all must serve again within this time.
+const BACK: Us = 12 * SEC;
+
 /// One step of a release: a worker drains, ends, and begins anew.
 #[derive(Clone, Copy, Debug)]
 struct Turn {
@@ -106,6 +119,10 @@
 /// One run from a seed: faults, then healing, then what must hold again.
 pub fn run(r: Run) -> Summary {
     let mut w = World::new(r.seed, r.cores, r.fronts, r.workers);
+    if r.day.is_some() {
+        w.tenants = 7;
+    }
+    let mut hour = u64::MAX;
     let mut o = Ops::default();
     let mut downs: Vec<Down> = Vec::new();
     let mut swap: Option<usize> = None;
@@ -115,7 +132,7 @@
     let mut last = begin;
     let mut dt: Vec<(usize, Us)> = Vec::new();
     let mut turns: Vec<Turn> = Vec::new();
-    while w.now < end + 14 * SEC {
+    while w.now < end + BACK {
         let t = w.now + 10 * MS;
         w.run(t);
         w.report();
@@ -170,6 +187,13 @@
             }
         }
         turns.retain(|t| t.take(&mut w));
+        let h = (now - begin) / HOUR;
+        if let Some(d) = r.day.filter(|_| !calm && h != hour) {
+            hour = h;
+            if let Some((f, t)) = d.hour(&mut w, h) {
+                fault(&mut w, f, t, &mut downs, swap.is_some(), &mut dt, &mut turns);
+            }
+        }
         dt.retain(|(k, at)| {
             if *at <= now {
                 let x = &mut w.workers[*k];
@@ -189,7 +213,7 @@
         if now % SEC < 10 * MS {
             w.platform();
         }
-        o.calls(&mut w, r.load);
+        o.calls(&mut w, r.day.map_or(r.load, |d| d.load(if calm { 8 } else { h })));
         if now - last >= 50 * MS {
             last = now;
             sample(&mut w);
@@ -203,13 +227,23 @@
         w.drop_calls(i);
     }
     let law = Law {
-        quotas: quotas(),
+        quotas: quotas(w.tenants),
         acks: w.check.acks.iter().map(|a| (a.ver, a.at)).collect(),
         keys: w.check.chosen.values().map(|d| (d.ver, w.check.first[&d.ver], has_key(&d.body))).collect(),
         tries: w.tries,
         slept: w.slept.clone(),
     };
     w.check.breaches.extend(judge(&w.seen, &w.ran, &law));
+    let fronts = (0..w.slots.len()).filter(|i| !w.slots[*i].core);
+    let again = |i: usize| {
+        let whole = w.seen.iter().filter(|o| o.slot == i && o.at >= end && o.seen == Seen::Whole);
+        whole.map(|o| o.end - end).min()
+    };
+    let serving = fronts.map(again).collect::<Option<Vec<_>>>().and_then(|v| v.into_iter().max());
+    if serving.is_none_or(|t| t > BACK) {
+        let t = format!("not all fronts serve again 12 s after the last fault: {serving:?}");
+        w.check.breaches.push(Breach(t));
+    }
     let mut ends: std::collections::BTreeMap<String, u64> = std::collections::BTreeMap::new();
     for o in &w.seen {
         let k = match &o.seen {
@@ -242,6 +276,7 @@
         spread: o.lag,
         held,
         recovered: rec,
+        serving,
         frames: w.frames,
         bytes: w.bytes,
         far: w.far,
@@ -297,7 +332,7 @@
         .map(|i| w.slots[i].addr.clone())
         .collect();
     if !bad.is_empty() {
-        w.check.breaches.push(Breach(format!("not fresh 14 s after the last fault: {bad:?}")));
+        w.check.breaches.push(Breach(format!("not fresh 12 s after the last fault: {bad:?}")));
         return None;
     }
     let vs: std::collections::BTreeSet<_> = w.slots.iter().filter_map(|s| s.node.as_ref().map(|n| n.ver())).collect();
--- a/crates/rehearsal/src/sim/faults.rs
+++ b/crates/rehearsal/src/sim/faults.rs
@@ -68,6 +68,7 @@
         Profile { name: "wiped", faults: &[WipeCore], secs: 90, changes: 15 },
         Profile { name: "zones", faults: &[Zone, Lossy], secs: 60, changes: 15 },
         Profile { name: "workers", faults: &[Workers, KillFront, Freeze], secs: 60, changes: 5 },
+        Profile { name: "day", faults: &[], secs: 120, changes: 6 },
         Profile {
             name: "tries",
             faults: &[
--- a/crates/rehearsal/src/sim/mod.rs
+++ b/crates/rehearsal/src/sim/mod.rs
@@ -1,6 +1,7 @@
 //! The very same core as in `usher`, stepped in virtual time from a seed.
 
 mod check;
+mod day;
 mod disk;
 mod drive;
 mod faults;
@@ -11,6 +12,7 @@
 mod world;
 
 pub use check::{Ack, Breach, Check};
+pub use day::Day;
 pub use drive::{Run, Summary, run};
 pub use faults::{Fault, Profile};
 pub use judge::{Law, judge};
--- a/crates/rehearsal/src/sim/ops.rs
+++ b/crates/rehearsal/src/sim/ops.rs
@@ -33,10 +33,11 @@
 
 pub const QUOTA: u64 = 60;
 pub const WINDOW: Us = SEC;
-const TENANTS: u64 = 4;
+/// Tenants beside the one whose key comes and goes.
+pub const TENANTS: u64 = 4;
 
-pub fn quotas() -> BTreeMap<String, (u64, Us)> {
-    (0..TENANTS).map(|i| format!("t{i}")).chain([REVOCABLE.into()]).map(|t| (t, (QUOTA, WINDOW))).collect()
+pub fn quotas(tenants: u64) -> BTreeMap<String, (u64, Us)> {
+    (0..tenants).map(|i| format!("t{i}")).chain([REVOCABLE.into()]).map(|t| (t, (QUOTA, WINDOW))).collect()
 }
 
 /// The tenant whose key comes and goes with the versions.
@@ -52,12 +53,15 @@
     body.contains(&hash(REVOCABLE))
 }
 
-pub fn tree(n: u64) -> String {
+/// A configuration; every eighth one has `grown` more matches than the others.
+pub fn tree(n: u64, tenants: u64, grown: u64) -> String {
     let mut ts: Vec<_> =
-        (0..TENANTS).map(|i| format!("\"t{i}\":{{\"keys\":[\"sha256:{}\"]}}", hash(&format!("t{i}")))).collect();
+        (0..tenants).map(|i| format!("\"t{i}\":{{\"keys\":[\"sha256:{}\"]}}", hash(&format!("t{i}")))).collect();
     let k = if n % 4 < 2 { format!("\"sha256:{}\"", hash(REVOCABLE)) } else { String::new() };
     ts.push(format!("\"{REVOCABLE}\":{{\"keys\":[{k}]}}"));
-    let more = (0..n % 40).map(|i| format!(",\"m{i}\":{{\"path\":\"/m{i}\",\"pool\":\"llm\"}}")).collect::<String>();
+    let more = (0..n % 40 + if n % 8 == 5 { grown } else { 0 })
+        .map(|i| format!(",\"m{i}\":{{\"path\":\"/m{i}\",\"pool\":\"llm\"}}"))
+        .collect::<String>();
     let m = |name: &str, path: &str, pool: &str, more: &str| {
         format!("\"{name}\":{{\"path\":\"/v1/{path}\",\"pool\":\"{pool}\",\"kind\":\"{more}}}")
     };
@@ -96,7 +100,7 @@
         let (i, j) = (pick(w), pick(w));
         let Some(base) = w.slots[i].node.as_ref().and_then(|n| n.ver()) else { return };
         let cid = Cid(w.rng.draw().max(1));
-        let change = Change::Tree(tree(self.n));
+        let change = Change::Tree(tree(self.n, w.tenants, w.grown));
         let now = w.now;
         self.send(w, j, Ask { cid, base, change, asked: now, due: now + 7 * SEC, again: false });
     }
@@ -194,7 +198,7 @@
         let until = w.now + most;
         let mut open: Vec<(usize, String, u64)> = (0..w.slots.len())
             .filter(|i| !w.slots[*i].core && w.alive(*i))
-            .flat_map(|i| (0..TENANTS).map(move |t| (i, format!("t{t}"), 0)))
+            .flat_map(|i| (0..w.tenants).map(move |t| (i, format!("t{t}"), 0)))
             .collect();
         while !open.is_empty() && w.now < until {
             for (i, t, n) in &mut open {
@@ -226,7 +230,7 @@
         }
         let crowd = if w.crowd.1 > w.now { w.crowd.0 } else { 1 };
         let hot = w.hot > w.now;
-        let names = (0..TENANTS).map(|t| format!("t{t}")).chain([REVOCABLE.to_owned()]);
+        let names = (0..w.tenants).map(|t| format!("t{t}")).chain([REVOCABLE.to_owned()]);
         for (k, tenant) in names.enumerate() {
             // A crowd is one tenant's; the others have what they always have.
             let many = if k == 0 { crowd } else { 1 };
@@ -235,13 +239,9 @@
                     continue;
                 }
                 let i = fronts[usize::try_from(w.rng.below(fronts.len() as u64)).unwrap_or(0)];
-                let path = match w.rng.below(100) {
-                    0..30 => "/v1/confirm",
-                    30..40 => "/v1/book",
-                    40..58 => "/v1/draft",
-                    58..91 => "/v1/chat",
-                    _ => "/v1/summary",
-                };
+                let x = w.rng.below(100);
+                let at = w.mix.iter().position(|m| x < *m).unwrap_or(4);
+                let path = ["/v1/confirm", "/v1/book", "/v1/draft", "/v1/chat", "/v1/summary"][at];
                 let prefix = if hot { 0 } else { w.rng.below(40) };
                 let leaves = w.rng.chance(2).then(|| w.rng.below(300 * MS));
                 self.calls += 1;
--- a/crates/rehearsal/src/sim/world.rs
+++ b/crates/rehearsal/src/sim/world.rs
@@ -88,6 +88,11 @@
     pub ran: Vec<Ran>,
     pub seen: Vec<Outcome>,
     pub calls: u64,
+    pub tenants: u64,
+    /// How many more matches some configurations have.
+    pub grown: u64,
+    /// Shares of the kinds of calls, summed up: lookups, bookings, drafts, chats, summaries.
+    pub mix: [u64; 5],
     /// How many times its usual traffic one tenant has, and until when.
     pub crowd: (u64, Us),
     /// Until when all calls share one prefix.
@@ -104,6 +109,7 @@
     next_ip: u32,
 }
 
+pub const MIX: [u64; 5] = [30, 40, 58, 91, 100];
 pub const TICK: Us = 25 * MS;
 /// Workers of the application service beside those of the model.
 pub const APPS: usize = 3;
@@ -128,6 +134,9 @@
             ran: Vec::new(),
             seen: Vec::new(),
             calls: 0,
+            tenants: super::ops::TENANTS,
+            grown: 0,
+            mix: MIX,
             crowd: (1, 0),
             hot: 0,
             slept: Vec::new(),
--- a/crates/rehearsal/tests/sim.rs
+++ b/crates/rehearsal/tests/sim.rs
@@ -1,6 +1,6 @@
 //! The brief's rules under each failure it names, in virtual time from fixed seeds.
 
-use rehearsal::sim::{Ack, Check, Law, Outcome, Profile, Ran, Run, Seen, Summary, Want, judge, run};
+use rehearsal::sim::{Ack, Check, Day, Law, Outcome, Profile, Ran, Run, Seen, Summary, Want, judge, run};
 use seating::base::{Cid, Nid, SEC};
 use seating::peer::{Core, Decree};
 use seating::tries;
@@ -113,6 +113,16 @@
     seeds("storm", 1..7);
 }
 
+/// Mornings, crowds, overnight summaries, a release, a core replaced, and a last fault.
+#[test]
+fn whole_days_end_with_a_last_fault_and_all_serve_again() {
+    for (d, s) in [(Day::MTATSMINDA, 1), (Day::MTATSMINDA, 2), (Day::DERWENT, 1), (Day::DERWENT, 2)] {
+        let r = run(Run::day(s, d));
+        assert!(r.breaches.is_empty(), "{} seed {s}:\n{}\n{:#?}", d.name, r.trace.join("\n"), r.breaches);
+        assert!(r.ends["whole"] * 10 > r.calls * 8, "{} seed {s}: {:?}", d.name, r.ends);
+    }
+}
+
 #[test]
 fn the_same_seed_gives_the_same_run() {
     let p = Profile::named("storm").expect("a profile");
