--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -1,5 +1,6 @@
 //! Development only: the simulator, the stand-ins and the fleet on one machine.
 
+pub mod bounds;
 pub mod fleet;
 pub mod lookups;
 pub mod sim;
--- a/crates/rehearsal/src/main.rs
+++ b/crates/rehearsal/src/main.rs
@@ -1,4 +1,5 @@
 use getopts::Options;
+use rehearsal::bounds::Bound;
 use rehearsal::fleet::{Shape, rehearse};
 use rehearsal::sim::{Day, Profile, Run, run};
 
@@ -7,7 +8,8 @@
 Usage:
   rehearsal fleet [flags]   processes of usher on loopback, with traffic and troubles
   rehearsal sim [flags]     the core in virtual time, from seeds
-  rehearsal lookups         what a lookup in the layered cache costs";
+  rehearsal lookups         what a lookup in the layered cache costs
+  rehearsal bounds          what ways to bound a quota admit and refuse";
 
 fn main() {
     let a: Vec<String> = std::env::args().skip(1).collect();
@@ -83,7 +85,23 @@
             }
             false
         }
-        w => stop(&format!("{w}: use fleet, sim or lookups")),
+        "bounds" => {
+            for (pct, bursts) in
+                [(50, false), (75, false), (90, false), (100, false), (200, false), (50, true), (100, true)]
+            {
+                for b in [Bound::Fixed, Bound::Parts(5), Bound::Parts(10), Bound::Exact] {
+                    let s = rehearsal::bounds::run(b, pct, bursts, 1);
+                    println!(
+                        "{} {pct:3} % of the quota, {b:?}: refused {:5.1} %, worst interval {} of 60",
+                        if bursts { "bursts" } else { "steady" },
+                        s.refused as f64 * 100.0 / s.calls as f64,
+                        s.worst
+                    );
+                }
+            }
+            false
+        }
+        w => stop(&format!("{w}: use fleet, sim, lookups or bounds")),
     };
     if bad {
         std::process::exit(1);
--- a/crates/seating/tests/life.rs
+++ b/crates/seating/tests/life.rs
@@ -646,3 +646,11 @@
     }
     assert_eq!(s.held().1, (0, 8));
 }
+
+#[test]
+fn a_call_that_was_not_written_is_the_same_try() {
+    let mut s = Stage::new("/chat", 2, 4, 9);
+    let again = vec![(E(Event::Unsent), "open again"), (E(Event::Opened), "send win 1"), (E(Event::Left), "")];
+    run("not written", &mut s, then(again));
+    assert_eq!((s.floor.counts.tries_first.get(), s.floor.counts.tries_second.get()), (1, 0));
+}
