Histograms of the first byte, the unit and the place by kind of traffic, parsed by a library

Cause: operators saw counters only; their worst seconds and where calls wait were not to be seen. Three histograms by kind in /metrics; a case table for the buckets; a trial reads the page of a running node with prometheus-parse and finds the calls that it made.

--- a/crates/rehearsal/tests/wires.rs
+++ b/crates/rehearsal/tests/wires.rs
@@ -125,6 +125,21 @@
         let m = f.metrics(3).await;
         let count = |k: &str| m.iter().find(|x| x.0 == k).map_or(0, |x| x.1);
         want(count("usher_served_total") == 6 && count("usher_left_total") == 0, format!("{m:?}"))?;
+        let (_, t) = f.admin(3, Method::GET, "/metrics", &[], "").await?;
+        let p = prometheus_parse::Scrape::parse(t.lines().map(|l| Ok(l.to_owned()))).map_err(|e| e.to_string())?;
+        let first = |kind: &str| {
+            p.samples.iter().find_map(|s| match &s.value {
+                prometheus_parse::Value::Histogram(h) if s.metric == "usher_first_seconds" => {
+                    (s.labels.get("kind") == Some(kind)).then(|| h.last().map_or(0.0, |b| b.count))
+                }
+                _ => None,
+            })
+        };
+        want(first("lookup") == Some(3.0) && first("chat") == Some(3.0), t.clone())?;
+        want(
+            p.docs.len() > 40 && p.samples.len() > 60,
+            format!("{} texts, {} samples", p.docs.len(), p.samples.len()),
+        )?;
         let mut all = Vec::new();
         let mut set = tokio::task::JoinSet::new();
         let mut n = 0;
--- a/crates/seating/src/call/floor.rs
+++ b/crates/seating/src/call/floor.rs
@@ -1,6 +1,7 @@
 use super::caches::{Caches, Own};
 use super::counts::Counts;
 use super::room::Room;
+use super::times::Times;
 use super::waits::{Units, Waiter};
 use crate::base::{Shards, Us};
 use crate::fresh;
@@ -20,6 +21,10 @@
     pub caches: Caches,
     pub budget: Budget,
     pub counts: Counts,
+    /// From the call's head to the head of its response, to its unit, and to its place.
+    pub firsts: Times,
+    pub units_after: Times,
+    pub places_after: Times,
     pub room: Room,
     /// How many calls may wait for a place of one pool, or a unit of one tenant.
     pub cap: usize,
@@ -59,6 +64,9 @@
             caches: Caches::default(),
             budget: Budget::default(),
             counts: Counts::default(),
+            firsts: Times::default(),
+            units_after: Times::default(),
+            places_after: Times::default(),
             room: Room::new(room),
             cap,
             places: Shards::default(),
--- a/crates/seating/src/call/mod.rs
+++ b/crates/seating/src/call/mod.rs
@@ -10,6 +10,7 @@
 mod room;
 mod state;
 mod steps;
+mod times;
 mod waits;
 
 pub use answer::{Answer, back_after};
@@ -19,3 +20,4 @@
 pub use io::{Bad, Effect, Event, Head, Out, Reply, Ring};
 pub use life::Life;
 pub use room::{Held, Room};
+pub use times::{ENDS, Shown, Times};
--- a/crates/seating/src/call/steps/place.rs
+++ b/crates/seating/src/call/steps/place.rs
@@ -58,6 +58,9 @@
 
 fn open(c: Call<Granted>, p: Place, cx: &Cx, out: &mut Out) -> Go<At> {
     let since = cx.now;
+    if c.st.read.tries.sent == 0 {
+        cx.floor.places_after.add(c.st.read.who.m.kind, cx.now.saturating_sub(c.at));
+    }
     let seat = Seat { pool: c.st.read.who.m.pool.clone(), at: p.clone() };
     out.push(Effect::Open(p));
     Ok(At::Placed(c.with(|g| Placed { g, seat, since })))
--- a/crates/seating/src/call/steps/tries.rs
+++ b/crates/seating/src/call/steps/tries.rs
@@ -117,6 +117,7 @@
     c.st.g.read.tries.used = true;
     c.st.g.read.tries.ran = Ran::Yes;
     if c.st.g.flow.is_none() {
+        cx.floor.firsts.add(c.st.g.read.who.m.kind, cx.now.saturating_sub(c.at));
         out.push(Effect::Begin);
         return Ok(flow::begin(c, r, cx));
     }
--- a/crates/seating/src/call/steps/unit.rs
+++ b/crates/seating/src/call/steps/unit.rs
@@ -73,6 +73,7 @@
         ring(cx.floor.refund(&c.st.who.tenant.name, unit, cx.now), out);
         return Err(Halt::Say(a.ran(c.st.tries.ran)));
     }
+    cx.floor.units_after.add(c.st.who.m.kind, cx.now.saturating_sub(c.at));
     // Nobody is held until the very end of what it may wait.
     let due = c.at + c.st.who.m.wait / 8 * 7;
     place::take(c.with(|read| Granted { read, unit, due, flow: None }), cx, out)
--- a/crates/seating/tests/machines.rs
+++ b/crates/seating/tests/machines.rs
@@ -338,3 +338,17 @@
         let _ = unpack(&c);
     }
 }
+
+#[test]
+fn times_fall_into_the_buckets_that_they_are_within() {
+    use seating::call::{ENDS, Times};
+    let t = Times::default();
+    for us in [1, 5 * MS, 5 * MS + 1, 99 * MS, 11 * SEC] {
+        t.add(Kind::Chat, us);
+    }
+    let v = t.list();
+    let chat = v.iter().find(|s| s.kind == "chat").expect("a kind");
+    assert_eq!(chat.upto, [2, 3, 3, 3, 4, 4, 4, 4, 4, 4, 4]);
+    assert_eq!((chat.all, chat.sum), (5, 11 * SEC + 109 * MS + 2));
+    assert!(v.iter().filter(|s| s.kind != "chat").all(|s| s.all == 0 && s.upto.len() == ENDS.len()));
+}
--- a/crates/usher/src/admin/metrics.rs
+++ b/crates/usher/src/admin/metrics.rs
@@ -1,6 +1,6 @@
 use super::say::text;
 use crate::hall::Hall;
-use seating::call::COUNT_HELP;
+use seating::call::{COUNT_HELP, ENDS, Times};
 use std::fmt::Write;
 use std::sync::atomic::Ordering;
 use viz::{Response, StatusCode};
@@ -35,5 +35,24 @@
     put("waiting_units", "gauge", units, "Calls that wait for a unit of their quota.");
     put("bodies_held", "gauge", h.floor.room.used() as u64, "Bytes of bodies held at once.");
     put("terms", "gauge", v.terms.len() as u64, "Duties held.");
+    let f = &h.floor;
+    times(&mut s, "first_seconds", "From a call's head to the head of its response.", &f.firsts);
+    times(&mut s, "unit_seconds", "From a call's head to its unit of the quota.", &f.units_after);
+    times(&mut s, "place_seconds", "From a call's head to its place at a worker.", &f.places_after);
     text(StatusCode::OK, s)
 }
+
+/// One histogram, by the kinds of traffic.
+fn times(s: &mut String, n: &str, help: &str, t: &Times) {
+    let secs = |us: u64| format!("{}.{:06}", us / 1_000_000, us % 1_000_000);
+    let _ = writeln!(s, "# HELP usher_{n} {help}\n# TYPE usher_{n} histogram");
+    for x in t.list() {
+        let k = x.kind;
+        for (e, c) in ENDS.iter().zip(&x.upto) {
+            let _ = writeln!(s, "usher_{n}_bucket{{kind=\"{k}\",le=\"{}\"}} {c}", secs(*e));
+        }
+        let _ = writeln!(s, "usher_{n}_bucket{{kind=\"{k}\",le=\"+Inf\"}} {}", x.all);
+        let _ = writeln!(s, "usher_{n}_sum{{kind=\"{k}\"}} {}", secs(x.sum));
+        let _ = writeln!(s, "usher_{n}_count{{kind=\"{k}\"}} {}", x.all);
+    }
+}
