--- a/crates/rehearsal/src/sim/lives.rs
+++ b/crates/rehearsal/src/sim/lives.rs
@@ -215,17 +215,7 @@
         }
         if let Some(seen) = seen {
             self.close(i, n, &mut a);
-            self.seen.push(Outcome {
-                call: n,
-                want: a.want,
-                slot: i,
-                at: a.at,
-                first: a.first,
-                end: self.now,
-                body: a.body,
-                tried: a.no > 0,
-                seen,
-            });
+            self.ended(i, n, *a, seen);
         } else {
             let s = &self.slots[i];
             if let Some(d) = a.life.due(&s.hall.view) {
@@ -243,6 +233,11 @@
         }
     }
 
+    fn ended(&mut self, slot: usize, call: u64, a: Alive, seen: Seen) {
+        let Alive { want, at, first, body, no, .. } = a;
+        self.seen.push(Outcome { call, want, slot, at, first, end: self.now, body, tried: no > 0, seen });
+    }
+
     fn open(&mut self, i: usize, n: u64, a: &mut Alive, at: std::net::SocketAddr) {
         let k = match at.ip() {
             std::net::IpAddr::V4(x) => usize::from(x.octets()[3]) - 1,
@@ -285,17 +280,7 @@
         self.units_ended += c.units_ended.get();
         for (n, mut a) in std::mem::take(&mut self.slots[i].hall.lives) {
             self.close(i, n, &mut a);
-            self.seen.push(Outcome {
-                call: n,
-                want: a.want,
-                slot: i,
-                at: a.at,
-                first: a.first,
-                end: self.now,
-                body: a.body,
-                tried: a.no > 0,
-                seen: Seen::Dropped,
-            });
+            self.ended(i, n, *a, Seen::Dropped);
         }
     }
 }
