Reading again: one harness for trials, one check of key and freshness, no step for a timer

Found on reading the change: trials.rs and wires.rs had the same harness (now fleet::trial); `good` only passed on to `still` (gone); the waitlist's `expire` had no caller left but a test, which asks `take` for the same now; each event of a call borrowed the thread's layers and read the clock only to learn its next timer, for which the picture is enough.

--- a/crates/rehearsal/tests/trials.rs
+++ b/crates/rehearsal/tests/trials.rs
@@ -1,31 +1,14 @@
 //! What only the operating system can bring about, tried on small fleets of processes.
 
 use hyper::Method;
-use rehearsal::fleet::{Fleet, Shape, change, judge, key, known, ready, tree};
-use rehearsal::standin::{Caller, Log, Mode, Seen, Worker, ask, text};
+use rehearsal::fleet::{Fleet, Shape, caller, change, judge, key, known, ready, tree, trial, want};
+use rehearsal::standin::{Log, Mode, Seen, Worker, ask, text};
 use seating::base::sha_hex;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 
-const SMALL: Shape = Shape { name: "small", fronts: 2, models: 3, apps: 2, tenants: 2, lookups: 0, model_calls: 0 };
-
-fn trial(f: impl Future<Output = Result<(), String>>) {
-    let rt = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().expect("threads");
-    if let Err(e) = rt.block_on(f) {
-        panic!("{e}");
-    }
-}
-
-fn caller(f: &Fleet, path: &'static str, t: usize) -> Caller {
-    Caller { http: f.http.clone(), kind: "x", path, tenant: format!("t{t}"), key: key(t) }
-}
-
-fn want(ok: bool, why: impl Into<String>) -> Result<(), String> {
-    if ok { Ok(()) } else { Err(why.into()) }
-}
-
 async fn small() -> Result<(Fleet, Vec<Worker>, Log), String> {
-    ready(SMALL, &tree(SMALL, 0, &[])).await
+    ready(Shape::SMALL, &tree(Shape::SMALL, 0, &[])).await
 }
 
 #[test]
@@ -72,7 +55,7 @@
 
         let v = f.version(3).await;
         let tag = format!("\"{}\"", v.unwrap_or(0));
-        let good = tree(SMALL, 0, &[]);
+        let good = tree(Shape::SMALL, 0, &[]);
         let op = "Bearer operator-token";
         let deep = "[".repeat(200);
         let admin = [
@@ -116,10 +99,10 @@
         want(f.version(3).await == v, "a refused change moved the version")?;
         // A change that was lost on the way is sent again with its id: it is one change.
         let h = [("if-match", tag.as_str()), ("change-id", "00000000000000ab")];
-        let a = f.admin(3, Method::PUT, "/v1/config", &h, &tree(SMALL, 1, &[])).await?;
-        let b = f.admin(4, Method::PUT, "/v1/config", &h, &tree(SMALL, 1, &[])).await?;
+        let a = f.admin(3, Method::PUT, "/v1/config", &h, &tree(Shape::SMALL, 1, &[])).await?;
+        let b = f.admin(4, Method::PUT, "/v1/config", &h, &tree(Shape::SMALL, 1, &[])).await?;
         want(a.0 == 200 && a == b, format!("{a:?} {b:?}"))?;
-        let c = f.admin(4, Method::PUT, "/v1/config", &h, &tree(SMALL, 2, &[])).await?;
+        let c = f.admin(4, Method::PUT, "/v1/config", &h, &tree(Shape::SMALL, 2, &[])).await?;
         want(c.0 == 409, format!("another body under the same id: {c:?}"))?;
         let l = f.admin(4, Method::GET, "/v1/changes/00000000000000ab", &[], "").await?;
         want(l.1.contains("decided"), format!("{l:?}"))?;
@@ -162,7 +145,7 @@
         }
         want(n == 60, format!("{n} of 60 counted"))?;
         f.all_ready(Duration::from_secs(2)).await?;
-        change(&f, 4, &tree(SMALL, 1, &[])).await.map(|_| ())
+        change(&f, 4, &tree(Shape::SMALL, 1, &[])).await.map(|_| ())
     });
 }
 
@@ -278,14 +261,14 @@
                 }
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
-            let v = change(&f, 3, &tree(SMALL, i + 1, &[])).await?;
+            let v = change(&f, 3, &tree(Shape::SMALL, i + 1, &[])).await?;
             want(v > last, format!("version {v} after {last}"))?;
             last = v;
             f.spread(v, Duration::from_secs(2)).await?;
         }
         // The new ones carry the fleet: one of them may go as well.
         f.kill(1).await;
-        let v = change(&f, 3, &tree(SMALL, 9, &[])).await?;
+        let v = change(&f, 3, &tree(Shape::SMALL, 9, &[])).await?;
         want(v > last, "no change with one of the new cores gone")?;
         // All go at once and come back with what was acknowledged.
         f.kill(0).await;
@@ -317,7 +300,7 @@
         let c = caller(&f, "/v1/chat", 1);
         let at = f.nodes[4].front();
         let sleeper = tokio::spawn(async move { c.call(&at, "slept", "x").await });
-        change(&f, 3, &tree(SMALL, 1, &[1])).await?;
+        change(&f, 3, &tree(Shape::SMALL, 1, &[1])).await?;
         let t = Instant::now();
         tokio::time::sleep_until((t + Duration::from_millis(5_050)).into()).await;
         f.signal(4, libc::SIGCONT);
@@ -339,7 +322,7 @@
         let v = f.version(3).await.unwrap_or(0);
         let tag = format!("\"{v}\"");
         let h = [("if-match", tag.as_str()), ("change-id", "00000000000000cd")];
-        let (s, b) = f.admin(3, Method::PUT, "/v1/config", &h, &tree(SMALL, 1, &[])).await?;
+        let (s, b) = f.admin(3, Method::PUT, "/v1/config", &h, &tree(Shape::SMALL, 1, &[])).await?;
         want(matches!(s, 503 | 504), format!("{s} {b}"))?;
         let t = Instant::now();
         loop {
@@ -356,7 +339,7 @@
         f.signal(2, libc::SIGCONT);
         let t = f.all_ready(Duration::from_secs(12)).await?;
         println!("fresh again after {} ms", t.as_millis());
-        let (s, b) = f.admin(4, Method::PUT, "/v1/config", &h, &tree(SMALL, 1, &[])).await?;
+        let (s, b) = f.admin(4, Method::PUT, "/v1/config", &h, &tree(Shape::SMALL, 1, &[])).await?;
         want(s == 200 || s == 412, format!("{s} {b}"))?;
         let (_, l) = f.admin(4, Method::GET, &format!("/v1/changes/00000000000000cd?base={v}"), &[], "").await?;
         want(l.contains(if s == 200 { "decided" } else { "lost" }), l)
@@ -366,8 +349,8 @@
 #[test]
 fn quotas_hold_over_all_fronts_and_refuse_nothing_within_them() {
     trial(async {
-        let body = tree(SMALL, 0, &[]).replace("\"calls\":120", "\"calls\":40");
-        let (f, _ws, log) = ready(SMALL, &body).await?;
+        let body = tree(Shape::SMALL, 0, &[]).replace("\"calls\":120", "\"calls\":40");
+        let (f, _ws, log) = ready(Shape::SMALL, &body).await?;
         let fronts = [f.nodes[3].front(), f.nodes[4].front()];
         // Within: 25 a second of 40, through both fronts.
         let mut set = tokio::task::JoinSet::new();
@@ -418,7 +401,7 @@
         let (mut f, _ws, _log) = small().await?;
         // Nothing can be written at all, not even the log: the core still learns.
         f.limit(0, Some(0));
-        let v = change(&f, 4, &tree(SMALL, 9, &[])).await?;
+        let v = change(&f, 4, &tree(Shape::SMALL, 9, &[])).await?;
         f.spread(v, Duration::from_secs(2)).await?;
         f.limit(0, None);
         let t = Instant::now();
@@ -429,7 +412,7 @@
         f.limit(0, Some(f.written(0)));
         // Now its log has room and its data has none. The other two carry changes and quotas on.
         for n in 1..4 {
-            let v = change(&f, 3 + n % 2, &tree(SMALL, n, &[])).await?;
+            let v = change(&f, 3 + n % 2, &tree(Shape::SMALL, n, &[])).await?;
             f.spread(v, Duration::from_secs(2)).await?;
             let o = caller(&f, "/v1/chat", 0).call(&f.nodes[3].front(), &format!("f{n}"), "x").await;
             want(o.seen == Seen::Whole, format!("{:?}", o.seen))?;
@@ -447,11 +430,12 @@
         f.kill(1).await;
         let v = f.version(3).await.unwrap_or(0);
         let tag = format!("\"{v}\"");
-        let (s, b) = f.admin(3, Method::PUT, "/v1/config", &[("if-match", tag.as_str())], &tree(SMALL, 5, &[])).await?;
+        let (s, b) =
+            f.admin(3, Method::PUT, "/v1/config", &[("if-match", tag.as_str())], &tree(Shape::SMALL, 5, &[])).await?;
         want(matches!(s, 503 | 504), format!("{s} {b}"))?;
         f.limit(0, None);
         let t = Instant::now();
-        while change(&f, 3, &tree(SMALL, 6, &[])).await.is_err() {
+        while change(&f, 3, &tree(Shape::SMALL, 6, &[])).await.is_err() {
             want(t.elapsed() < Duration::from_secs(12), "no change is accepted with room again")?;
         }
         println!("changes again {} ms after there was room", t.elapsed().as_millis());
@@ -463,7 +447,7 @@
 fn operators_drain_workers_and_nodes() {
     trial(async {
         let (f, ws, log) = small().await?;
-        let body = tree(SMALL, 0, &[]).replace("\"llm\":{}", "\"llm\":{\"drain\":[\"llm0\",\"llm2\"]}");
+        let body = tree(Shape::SMALL, 0, &[]).replace("\"llm\":{}", "\"llm\":{\"drain\":[\"llm0\",\"llm2\"]}");
         let v = change(&f, 3, &body).await?;
         f.spread(v, Duration::from_secs(2)).await?;
         for n in 0..20 {
@@ -485,8 +469,8 @@
 #[test]
 fn a_crowd_leaves_the_small_their_share_and_is_refused_at_once() {
     trial(async {
-        let body = tree(SMALL, 0, &[]).replace("\"calls\":120", "\"calls\":100000");
-        let (f, _ws, log) = ready(SMALL, &body).await?;
+        let body = tree(Shape::SMALL, 0, &[]).replace("\"calls\":120", "\"calls\":100000");
+        let (f, _ws, log) = ready(Shape::SMALL, &body).await?;
         let fronts = [f.nodes[3].front(), f.nodes[4].front()];
         // Three workers of 16 places and 410 ms for a draft: about 117 drafts a second.
         let mut set = tokio::task::JoinSet::new();
--- a/crates/rehearsal/tests/wires.rs
+++ b/crates/rehearsal/tests/wires.rs
@@ -1,30 +1,13 @@
 //! Wires that break, processes that die while they write, and what comes on the wire itself.
 
 use hyper::Method;
-use rehearsal::fleet::{Fleet, Shape, change, judge, key, known, ready, tree};
-use rehearsal::standin::{Caller, Log, Relay, Seen, Wire, Worker, raw};
+use rehearsal::fleet::{Fleet, Shape, caller, change, judge, key, known, ready, tree, trial, want};
+use rehearsal::standin::{Log, Relay, Seen, Wire, Worker, raw};
 use seating::base::Rng;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-const SMALL: Shape = Shape { name: "small", fronts: 2, models: 3, apps: 2, tenants: 2, lookups: 0, model_calls: 0 };
-
-fn trial(f: impl Future<Output = Result<(), String>>) {
-    let rt = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build().expect("threads");
-    if let Err(e) = rt.block_on(f) {
-        panic!("{e}");
-    }
-}
-
-fn want(ok: bool, why: impl Into<String>) -> Result<(), String> {
-    if ok { Ok(()) } else { Err(why.into()) }
-}
-
-fn caller(f: &Fleet, path: &'static str) -> Caller {
-    Caller { http: f.http.clone(), kind: "x", path, tenant: "t0".into(), key: key(0) }
-}
-
 /// Sends one call on a connection and reads until `end` or the close.
 async fn talk(s: &mut TcpStream, path: &str, version: &str, body: &str, end: &str) -> Result<String, String> {
     let k = key(0);
@@ -54,8 +37,8 @@
     trial(async {
         let more = "\"app\":{},\"bare\":{},\"events\":{}";
         let ms = "\"matches\":{\"bare\":{\"path\":\"/v1/bare/{id}\",\"pool\":\"bare\"},\"events\":{\"path\":\"/v1/events\",\"pool\":\"events\"},";
-        let body = tree(SMALL, 0, &[]).replace("\"app\":{}", more).replace("\"matches\":{", ms);
-        let (mut f, _ws, _log) = ready(SMALL, &body).await?;
+        let body = tree(Shape::SMALL, 0, &[]).replace("\"app\":{}", more).replace("\"matches\":{", ms);
+        let (mut f, _ws, _log) = ready(Shape::SMALL, &body).await?;
         let at = |k: u32| format!("{}.{k}:7300", f.net).parse().map_err(|_| "no address".to_owned());
         let bare = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\n\r\n{\"half\":";
         let events = b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\nid: 0\ndata: a\n\n";
@@ -86,7 +69,7 @@
         let t = talk(&mut s, "/v1/confirm", "1.1", "{\"prompt\":\"x\"}", whole).await?;
         want(t.contains(" 200 ") && t.to_lowercase().contains("connection: close"), t)?;
         // A long one that was read before the listener closed is finished.
-        let c = caller(&f, "/v1/draft");
+        let c = caller(&f, "/v1/draft", 0);
         let o = c.call(&front, "last", "x").await;
         want(o.seen == Seen::Whole, format!("{:?}", o.seen))?;
         want(f.wait(3).await == Some(0), "no clean end")
@@ -96,9 +79,9 @@
 #[test]
 fn wires_to_workers_are_cut_stalled_and_half_open() {
     trial(async {
-        let body =
-            tree(SMALL, 0, &[]).replace("\"prefix_chars\":32", "\"prefix_chars\":32,\"first_ms\":900,\"idle_ms\":900");
-        let (f, ws, log) = ready(SMALL, &body).await?;
+        let body = tree(Shape::SMALL, 0, &[])
+            .replace("\"prefix_chars\":32", "\"prefix_chars\":32,\"first_ms\":900,\"idle_ms\":900");
+        let (f, ws, log) = ready(Shape::SMALL, &body).await?;
         let mut relays = Vec::new();
         for (k, w) in ws.iter().enumerate() {
             let at = format!("{}.{}:7400", f.net, 200 + k).parse().map_err(|_| "no address")?;
@@ -119,7 +102,7 @@
         // Whole responses are counted as such, also those whose length is announced.
         for n in 0..6 {
             let path = ["/v1/confirm", "/v1/chat"][n % 2];
-            let o = caller(&f, path).call(&f.nodes[3].front(), &format!("s{n}"), "x").await;
+            let o = caller(&f, path, 0).call(&f.nodes[3].front(), &format!("s{n}"), "x").await;
             want(o.seen == Seen::Whole, format!("{:?}", o.seen))?;
         }
         let m = f.metrics(3).await;
@@ -152,7 +135,7 @@
                 t.tick().await;
                 n += 1;
                 let path = ["/v1/confirm", "/v1/book", "/v1/chat", "/v1/draft"][n % 4];
-                let (c, at) = (caller(&f, path), f.nodes[3 + n % 2].front());
+                let (c, at) = (caller(&f, path, 0), f.nodes[3 + n % 2].front());
                 set.spawn(async move { c.call(&at, &format!("w{n}"), &format!("prefix {}|", n % 7)).await });
             }
         }
@@ -176,8 +159,9 @@
         // Whole again: every worker serves.
         let t = Instant::now();
         loop {
-            let o =
-                caller(&f, "/v1/chat").call(&f.nodes[3].front(), &format!("z{}", t.elapsed().as_micros()), "x").await;
+            let o = caller(&f, "/v1/chat", 0)
+                .call(&f.nodes[3].front(), &format!("z{}", t.elapsed().as_micros()), "x")
+                .await;
             if o.seen == Seen::Whole {
                 return Ok(());
             }
@@ -190,12 +174,12 @@
 #[test]
 fn cores_die_at_any_point_of_a_change_and_many_at_once() {
     trial(async {
-        let (mut f, _ws, _log): (Fleet, Vec<Worker>, Log) = ready(SMALL, &tree(SMALL, 0, &[])).await?;
+        let (mut f, _ws, _log): (Fleet, Vec<Worker>, Log) = ready(Shape::SMALL, &tree(Shape::SMALL, 0, &[])).await?;
         let mut r = Rng::new(5);
         let mut acked = f.version(3).await.unwrap_or(0);
         for n in 1..=12usize {
             let i = n % 3;
-            let body = tree(SMALL, n, &[]);
+            let body = tree(Shape::SMALL, n, &[]);
             let after = Duration::from_micros(r.below(9_000));
             let (got, ()) = {
                 let put = change(&f, 3 + n % 2, &body);
@@ -230,7 +214,7 @@
             let v = f.version(i).await.unwrap_or(0);
             want(v >= acked, format!("node {i} is at {v}, {acked} was acknowledged"))?;
         }
-        let v = change(&f, 3, &tree(SMALL, 20, &[])).await?;
+        let v = change(&f, 3, &tree(Shape::SMALL, 20, &[])).await?;
         want(v > acked, "an older version")
     });
 }
@@ -239,11 +223,11 @@
 #[test]
 fn a_configuration_grows_by_thousands_of_matches_at_once() {
     trial(async {
-        let (f, _ws, log) = ready(SMALL, &tree(SMALL, 0, &[])).await?;
+        let (f, _ws, log) = ready(Shape::SMALL, &tree(Shape::SMALL, 0, &[])).await?;
         let mut set = tokio::task::JoinSet::new();
         let (tx, rx) = tokio::sync::watch::channel(false);
         for k in 0..2 {
-            let (c, at, rx) = (caller(&f, "/v1/confirm"), f.nodes[3 + k].front(), rx.clone());
+            let (c, at, rx) = (caller(&f, "/v1/confirm", 0), f.nodes[3 + k].front(), rx.clone());
             set.spawn(async move {
                 let mut v = Vec::new();
                 while !*rx.borrow() {
@@ -255,7 +239,7 @@
         }
         for n in [5_000, 10_000, 3] {
             let t = Instant::now();
-            let v = change(&f, 4, &tree(SMALL, n, &[])).await?;
+            let v = change(&f, 4, &tree(Shape::SMALL, n, &[])).await?;
             let acked = t.elapsed();
             let s = f.spread(v, Duration::from_secs(2)).await?;
             println!("{n} matches: acknowledged after {} ms, everywhere {} ms later", acked.as_millis(), s.as_millis());
--- a/crates/seating/src/call/life.rs
+++ b/crates/seating/src/call/life.rs
@@ -2,7 +2,7 @@
 use super::floor::{Cx, Floor, Seat};
 use super::io::{Effect, Event, Head, Out, Ring};
 use super::state::{At, Call, Granted, Heard, Who};
-use super::steps::{admit, flow, place, read, still, tries, unit};
+use super::steps::{admit, flow, place, read, tries, unit};
 use crate::base::{MS, Us};
 use crate::config::OnRevoke;
 use crate::node::View;
@@ -180,8 +180,3 @@
         ring(cx.floor.refund(&g.read.who.tenant.name, g.unit, cx.now), out);
     }
 }
-
-/// Is the node still fresh, and the key still good? Asked again before each try.
-pub(super) fn good(w: &Who, cx: &Cx) -> Result<(), Answer> {
-    still(&w.key, cx)
-}
--- a/crates/seating/src/call/steps/admit.rs
+++ b/crates/seating/src/call/steps/admit.rs
@@ -40,11 +40,11 @@
 }
 
 /// Asked again before each try: is the node still fresh and the key still good?
-pub fn still(key: &str, cx: &Cx) -> Result<(), Answer> {
+pub fn still(w: &Who, cx: &Cx) -> Result<(), Answer> {
     if !cx.view.admits(cx.now) {
         return Err(stale(cx));
     }
-    if cx.view.plan.key(key).is_none() {
+    if cx.view.plan.key(&w.key).is_none() {
         return Err(unknown(cx));
     }
     Ok(())
--- a/crates/seating/src/call/steps/place.rs
+++ b/crates/seating/src/call/steps/place.rs
@@ -1,8 +1,9 @@
+use super::still;
 use crate::base::{SEC, Us};
 use crate::call::answer::Answer;
 use crate::call::floor::{Cx, Seat};
 use crate::call::io::{Effect, Event, Out};
-use crate::call::life::{Go, Halt, drop_unit, good, release};
+use crate::call::life::{Go, Halt, drop_unit, release};
 use crate::call::state::{At, Call, Granted, Placed};
 use crate::call::waits::{Asker, Sat, table};
 use crate::place::Place;
@@ -28,7 +29,7 @@
 pub fn step(c: Call<Granted>, e: Event, cx: &mut Cx, out: &mut Out) -> Go<At> {
     match e {
         Event::Seated(p) => {
-            if let Err(a) = good(&c.st.read.who, cx) {
+            if let Err(a) = still(&c.st.read.who, cx) {
                 let pool = c.st.read.who.m.pool.clone();
                 release(&Seat { pool, at: p }, cx, out);
                 return end(c, a, cx, out);
@@ -38,7 +39,7 @@
         Event::Vain(back) => refuse(c, Some(back), cx, out),
         Event::Turn if c.since.is_some() => take(c, cx, out),
         Event::Turn => {
-            let r = good(&c.st.read.who, cx);
+            let r = still(&c.st.read.who, cx);
             let pool = c.st.read.who.m.pool.clone();
             // One who is no longer in the list was just given a place.
             if (r.is_err() || cx.now >= c.st.due) && cx.floor.unseat(&pool, c.n) {
--- a/crates/seating/src/call/steps/tries.rs
+++ b/crates/seating/src/call/steps/tries.rs
@@ -1,9 +1,9 @@
-use super::{flow, place, unit};
+use super::{flow, place, still, unit};
 use crate::base::SEC;
 use crate::call::answer::Answer;
 use crate::call::floor::{Cx, Seat, Unit};
 use crate::call::io::{Effect, Event, Out, Reply};
-use crate::call::life::{CONNECT, Go, good, release};
+use crate::call::life::{CONNECT, Go, release};
 use crate::call::state::{At, Call, Granted, Placed, Sent};
 use crate::quota::Take;
 use crate::tries::{Next, Ran, Spot, next};
@@ -19,7 +19,7 @@
         }
         _ => return Ok(At::Placed(c)),
     }
-    if let Err(a) = good(&c.st.g.read.who, cx) {
+    if let Err(a) = still(&c.st.g.read.who, cx) {
         out.push(Effect::Close);
         release(&c.st.seat, cx, out);
         return place::end(c.with(|p| p.g), a, cx, out);
@@ -106,7 +106,7 @@
             let mut c = c.with(|s| s.g);
             c.st.read.tries.ran = Ran::Unknown;
             c.st.read.tries.used = true;
-            let a = good(&c.st.read.who, cx).err().unwrap_or_else(|| Answer::new(401, "key", "the key was withdrawn"));
+            let a = still(&c.st.read.who, cx).err().unwrap_or_else(|| Answer::new(401, "key", "the key was withdrawn"));
             place::end(c, a, cx, out)
         }
         _ => Ok(At::Sent(c)),
--- a/crates/seating/src/call/steps/unit.rs
+++ b/crates/seating/src/call/steps/unit.rs
@@ -1,11 +1,11 @@
-use super::place;
+use super::{place, still};
 use crate::base::{SEC, Us};
 use crate::cache::Ttl;
 use crate::call::answer::Answer;
 use crate::call::caches::{Found, lookup};
 use crate::call::floor::{Cx, Unit};
 use crate::call::io::{Effect, Event, Out};
-use crate::call::life::{Go, Halt, good, ring};
+use crate::call::life::{Go, Halt, ring};
 use crate::call::state::{At, Call, Granted, Read};
 use crate::call::waits::{Asker, Got};
 
@@ -21,7 +21,7 @@
         }
         Found::Val(None) | Found::No(_) => {
             // A tenant that a newer version took out has no key either.
-            good(&c.st.who, cx).map_err(|a| Halt::Say(a.ran(c.st.tries.ran)))?;
+            still(&c.st.who, cx).map_err(|a| Halt::Say(a.ran(c.st.tries.ran)))?;
             let t = "the tenant's quota is not known here; try again";
             return Err(Halt::Say(Answer::new(503, "lookup", t).ran(c.st.tries.ran).back(SEC)));
         }
@@ -55,7 +55,7 @@
         Event::Vain(back) => Err(unsettled(&c, back, cx)),
         Event::Turn if c.since.is_some() => take(c, cx, out),
         Event::Turn => {
-            let r = good(&c.st.who, cx).map_err(|a| Halt::Say(a.ran(c.st.tries.ran)));
+            let r = still(&c.st.who, cx).map_err(|a| Halt::Say(a.ran(c.st.tries.ran)));
             let over = cx.now >= c.until();
             // One who is no longer in the list was just given something.
             if (r.is_err() || over) && cx.floor.ununit(&c.st.who.tenant.name, c.n) {
@@ -69,7 +69,7 @@
 }
 
 fn granted(c: Call<Read>, unit: Unit, cx: &mut Cx, out: &mut Out) -> Go<At> {
-    if let Err(a) = good(&c.st.who, cx) {
+    if let Err(a) = still(&c.st.who, cx) {
         ring(cx.floor.refund(&c.st.who.tenant.name, unit, cx.now), out);
         return Err(Halt::Say(a.ran(c.st.tries.ran)));
     }
--- a/crates/seating/src/wait/list.rs
+++ b/crates/seating/src/wait/list.rs
@@ -191,10 +191,6 @@
         out
     }
 
-    pub fn expire(&mut self, now: Us) -> Vec<T> {
-        self.take(|_, due| due <= now)
-    }
-
     /// When it is worth coming again.
     pub fn back(&self, now: Us) -> Us {
         let (each, gap) = self.pace(now);
--- a/crates/seating/tests/machines.rs
+++ b/crates/seating/tests/machines.rs
@@ -281,7 +281,7 @@
     }
     let first: Vec<_> = (0..10).filter_map(|_| w.pop(|_| Some(())).map(|x| x.0.0)).collect();
     assert_eq!(first.iter().filter(|t| **t == "small").count(), 5, "{first:?}");
-    assert_eq!(w.expire(SEC).len(), 45);
+    assert_eq!(w.take(|_, due| due <= SEC).len(), 45);
     assert!(w.is_empty());
 
     // Quick lookups are not stuck behind drafts of the same tenant.
--- a/crates/usher/src/front/carrier.rs
+++ b/crates/usher/src/front/carrier.rs
@@ -209,7 +209,7 @@
 
     /// Awaits whatever comes first of all that can happen to this call.
     async fn event(&mut self) -> Event {
-        let due = self.h.step(|cx| self.life.due(cx.view));
+        let due = self.life.due(&self.h.view.load());
         let (minds, flows) = (self.life.minds(), self.life.flows());
         let nap = async {
             match due {
