--- a/crates/core/src/agree/state.rs
+++ b/crates/core/src/agree/state.rs
@@ -1,6 +1,6 @@
 //! The state of agreement on one node.
 
-use super::{Digests, Kept, Known, trim_history};
+use super::{Digests, Kept, Known, Patches, trim_history};
 use crate::base::{ChangeId, Micros, NodeId, Version};
 use crate::peer::{Ballot, Change, Core, Decree, Digest, Fate};
 use std::collections::{BTreeMap, BTreeSet};
@@ -75,6 +75,8 @@
     pub history: BTreeMap<Version, Decree>,
     /// All versions of a day and more, without their bodies.
     pub digests: Digests,
+    /// The newest versions that came as patches, one after the other up to the newest of all.
+    pub patches: Patches,
     pub pledge: Vec<Core>,
     pub promised: Ballot,
     pub accepted: Option<(Ballot, Decree)>,
@@ -134,6 +136,7 @@
             return false;
         }
         self.digests.extend([Digest::of(&d)]);
+        self.patches.lead_to(&d);
         self.history.insert(d.version, d);
         trim_history(&mut self.history);
         self.promised = Ballot::default();
@@ -143,6 +146,20 @@
         true
     }
 
+    /// This version whole, made from the one before it where it came as a patch; none where that
+    /// one is not held.
+    pub fn restore(&self, d: Decree) -> Option<Decree> {
+        if !d.is_stripped() {
+            return Some(d);
+        }
+        let same = |a: &&Decree| a.version == d.version && a.change_id == d.change_id && a.patch == d.patch;
+        if let Some(accepted) = self.accepted.as_ref().map(|a| &a.1).filter(same) {
+            return Some(Decree { body: accepted.body.clone(), ..d });
+        }
+        let before = self.history.get(&d.version.checked_sub(1)?)?;
+        d.restored(before)
+    }
+
     /// A node that answers no orders keeps the newest version alone.
     pub fn forget_old(&mut self) {
         while self.history.len() > 1 {
@@ -160,7 +177,7 @@
     /// The change itself must have been looked for first.
     pub fn passed(&self, change: &Change, base: u64) -> bool {
         let place = match change {
-            Change::Doc(_) => self.digests.after_revision(base),
+            Change::Doc(_) | Change::Patch(_) => self.digests.after_revision(base),
             _ => self.digests.after_version(base),
         };
         place.is_some()
--- a/crates/core/src/call/state.rs
+++ b/crates/core/src/call/state.rs
@@ -46,6 +46,8 @@
     /// What it asks of an engine, where its head says so.
     pub ask: Option<Arc<Ask>>,
     pub tries: Tries,
+    /// The units of its tenant's quota that it takes.
+    pub units: u32,
 }
 
 /// Its tenant's quota has room for it; it needs a place.
--- a/crates/core/src/call/steps/place.rs
+++ b/crates/core/src/call/steps/place.rs
@@ -28,6 +28,7 @@
         kind: who.m.kind,
         due: call.state.due,
         soon: 0,
+        units: 0,
     };
     let wish = Wish { pool: &pool, hash: read.hash, ask: read.ask.as_ref(), skip: &read.tries.skip };
     match cx.floor.seat(&workers, wish, &asker, cx.view, cx.now, out) {
--- a/crates/core/src/call/steps/read.rs
+++ b/crates/core/src/call/steps/read.rs
@@ -24,7 +24,8 @@
     };
     let tries = Tries { skip: Vec::new(), full: Vec::new(), sent: 0, anew: false, ran: Ran::No, used: false };
     let ask = m.parts.then(|| Arc::new(ask(&c, size, cx)));
-    unit::take(c.with(|s| Read { who: s.who, hash, ask, tries }), cx, out)
+    let units = c.state.who.tenant.measure.units(c.head.tokens);
+    unit::take(c.with(|s| Read { who: s.who, hash, ask, tries, units }), cx, out)
 }
 
 /// A piece of a stream has some bytes of its own for each token.
--- a/crates/core/src/call/steps/unit.rs
+++ b/crates/core/src/call/steps/unit.rs
@@ -34,6 +34,7 @@
         }
     }
     let w = &c.state.who;
+    let units = c.state.units;
     let a = Asker {
         call: c.n,
         tenant: &t,
@@ -41,6 +42,7 @@
         kind: w.m.kind,
         due: c.until(),
         soon: c.at + w.patience().min(w.m.wait / 4),
+        units,
     };
     match cx.floor.unit(&a, cx.now, out) {
         Got::Unit(u, low) => {
@@ -50,13 +52,13 @@
             granted(c, u, cx, out)
         }
         Got::Waits => {
-            out.push(Effect::Need { tenant: t, waiting: 1 });
+            out.push(Effect::Need { tenant: t, waiting: u64::from(units) });
             Ok(At::Read(c))
         }
         Got::Spent(left) => Err(spent(&c, left)),
         Got::Mute(back) => {
             // Who comes next may find an answer, so the holder is still asked.
-            out.push(Effect::Need { tenant: t, waiting: 1 });
+            out.push(Effect::Need { tenant: t, waiting: u64::from(units) });
             Err(unsettled(&c, back))
         }
     }
@@ -65,7 +67,9 @@
 /// Another unit in the place of one that is no longer good, if this node has one at hand.
 pub fn take_anew(granted: &mut Granted, cx: &Cx) -> bool {
     let tenant = &granted.read.who.tenant.name;
-    let Take::Took { window, until, .. } = cx.floor.slices.take(tenant, cx.now) else { return false };
+    let Take::Took { window, until, .. } = cx.floor.slices.take_units(tenant, granted.read.units, cx.now) else {
+        return false;
+    };
     granted.unit = Unit { window, until };
     true
 }
--- a/crates/core/src/call/waiters.rs
+++ b/crates/core/src/call/waiters.rs
@@ -14,11 +14,19 @@
     pub(super) skip: Vec<String>,
 }
 
-/// The calls of one tenant that wait for a unit.
+/// A call that waits for units of its tenant's quota.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct UnitWaiter {
+    pub(super) call: u64,
+    /// Until when it may wait for units that a rate brings in.
+    pub(super) soon: Micros,
+    pub(super) units: u32,
+}
+
+/// The calls of one tenant that wait for units.
 #[derive(Clone, Debug)]
 pub(super) struct Units {
-    /// Each call, and until when it may wait for a unit of a rate.
-    pub(super) list: Waitlist<(u64, Micros)>,
+    pub(super) list: Waitlist<UnitWaiter>,
     /// Since when calls wait here without a word of the holder, and when last one came.
     pub(super) mute: Option<Micros>,
     pub(super) last: Micros,
--- a/crates/core/src/call/waits.rs
+++ b/crates/core/src/call/waits.rs
@@ -2,7 +2,7 @@
 use super::holdings::{Seat, Unit};
 use super::io::{Effect, Event, Out, Ring};
 use super::lookup::{Found, lookup};
-use super::waiters::{Units, Waiter};
+use super::waiters::{UnitWaiter, Units, Waiter};
 use crate::base::{MS, Micros, SEC};
 use crate::cache::Ttl;
 use crate::config::Kind;
@@ -32,8 +32,16 @@
     pub weight: u64,
     pub kind: Kind,
     pub due: Micros,
-    /// Until when it may wait for a unit that a rate brings in.
+    /// Until when it may wait for units that a rate brings in.
     pub soon: Micros,
+    /// How many units of its tenant's rate it takes.
+    pub units: u32,
+}
+
+impl Asker<'_> {
+    fn unit_waiter(&self) -> UnitWaiter {
+        UnitWaiter { call: self.call, soon: self.soon, units: self.units }
+    }
 }
 
 pub(super) enum Sat {
@@ -129,7 +137,7 @@
             last: now,
         });
         if u.list.is_empty() {
-            match self.slices.take(a.tenant, now) {
+            match self.slices.take_units(a.tenant, a.units, now) {
                 Take::Took { window, until, low } => return Got::Unit(Unit { window, until }, low),
                 Take::Spent { left } => return Got::Spent(left),
                 Take::Dry { wait, each, more } => return Self::dry(u, a, (wait, each, more), now),
@@ -138,7 +146,7 @@
             if now.saturating_sub(u.last) > SEC {
                 u.mute = None;
             }
-        } else if let Some(Take::Dry { wait, each, more }) = self.slices.rates.look(a.tenant, now) {
+        } else if let Some(Take::Dry { wait, each, more }) = self.slices.rates.look(a.tenant, a.units, now) {
             return Self::dry(u, a, (wait, each, more), now);
         }
         u.last = now;
@@ -146,9 +154,9 @@
         if now > mute + MUTE {
             return Got::Mute(SEC);
         }
-        match u.list.push((a.tenant.to_owned(), a.kind), a.weight, (a.call, a.soon), mute + MUTE + a.due, now) {
+        match u.list.push((a.tenant.to_owned(), a.kind), a.weight, a.unit_waiter(), mute + MUTE + a.due, now) {
             Ok(None) => Got::Waits,
-            Ok(Some((call, _))) => {
+            Ok(Some(UnitWaiter { call, .. })) => {
                 out.push(Effect::Ring(Ring { call, of: a.tenant.to_owned(), event: Event::Vain(SEC) }));
                 Got::Waits
             }
@@ -163,14 +171,14 @@
             return Got::Spent(back(at - now));
         }
         u.mute = None;
-        match u.list.push((a.tenant.to_owned(), a.kind), a.weight, (a.call, a.soon), Micros::MAX, now) {
+        match u.list.push((a.tenant.to_owned(), a.kind), a.weight, a.unit_waiter(), Micros::MAX, now) {
             Ok(_) => Got::Waits,
             Err((_, r)) => Got::Spent(back(r.back)),
         }
     }
 
     pub(super) fn ununit(&self, t: &str, call: u64) -> bool {
-        self.units.at(t).get_mut(t).is_some_and(|u| u.list.leave(|x| x.0 == call).is_some())
+        self.units.at(t).get_mut(t).is_some_and(|u| u.list.leave(|x| x.call == call).is_some())
     }
 
     /// The holder's word came: those who wait get what there is, or hear that there is none.
@@ -182,29 +190,42 @@
         let mute = u.mute.take();
         let ring = |call, event| Ring { call, of: t.to_owned(), event };
         while !u.list.is_empty() {
-            let got = self.slices.rates.draw(t, now).unwrap_or_else(|| self.slices.take(t, now));
-            match got {
-                Take::Took { window, until, .. } => match u.list.pop(|_| Some(())) {
-                    Some(((c, _), ())) => out.push(ring(c, Event::Unit(Unit { window, until }))),
-                    None => self.slices.refund(t, window),
-                },
+            // What the first of those found that could not be given theirs.
+            let mut none = None;
+            let given = u.list.pop(|w| {
+                let draw = self.slices.rates.draw(t, w.units, now);
+                match draw.unwrap_or_else(|| self.slices.take(t, now)) {
+                    Take::Took { window, until, .. } => Some(Unit { window, until }),
+                    other => {
+                        none.get_or_insert((w.units, other));
+                        None
+                    }
+                }
+            });
+            if let Some((waiter, unit)) = given {
+                out.push(ring(waiter.call, Event::Unit(unit)));
+                continue;
+            }
+            let Some((units, found)) = none else { break };
+            self.slices.rates.set_first(t, units);
+            match found {
                 Take::Spent { left } => {
-                    out.extend(u.list.take(|_, _| true).into_iter().map(|c| ring(c.0, Event::Spent(left))));
+                    out.extend(u.list.take(|_, _| true).into_iter().map(|w| ring(w.call, Event::Spent(left))));
                 }
                 Take::Dry { wait, each, more } => {
                     // Who can't be served in time hears so at once.
                     let mut at = now.saturating_add(wait);
-                    let late = u.list.take(|c, _| {
-                        let late = if more { now >= c.1 } else { at > c.1 };
+                    let late = u.list.take(|w, _| {
+                        let late = if more { now >= w.soon } else { at > w.soon };
                         if !late {
                             at = at.saturating_add(each);
                         }
                         late
                     });
-                    out.extend(late.into_iter().map(|c| ring(c.0, Event::Spent(back(wait)))));
+                    out.extend(late.into_iter().map(|w| ring(w.call, Event::Spent(back(wait)))));
                     break;
                 }
-                Take::Empty => {
+                Take::Empty | Take::Took { .. } => {
                     u.mute = if out.is_empty() { mute } else { Some(now) };
                     break;
                 }
@@ -284,10 +305,10 @@
             }
             let mut g = f.units.at(&t);
             let Some(u) = g.get_mut(&t).filter(|u| !u.list.is_empty()) else { continue };
-            need.push((t.clone(), u.list.len() as u64));
+            need.push((t.clone(), u.list.iter().map(|w| u64::from(w.units)).sum()));
             if u.mute.is_some_and(|m| now > m + MUTE) {
                 let v = u.list.take(|_, _| true).into_iter();
-                out.extend(v.map(|(call, _)| Ring { call, of: t.clone(), event: Event::Vain(SEC) }));
+                out.extend(v.map(|w| Ring { call: w.call, of: t.clone(), event: Event::Vain(SEC) }));
             }
         }
         (out, need)
--- a/crates/core/src/config/check/judge.rs
+++ b/crates/core/src/config/check/judge.rs
@@ -4,7 +4,7 @@
 use super::read::{Read, wrong};
 use super::shape::shape;
 use crate::base::MS;
-use crate::config::tree::{Kind, Limit, Match, OnRevoke, Placement, Plan, Pool, Quota, Rate, Tenant};
+use crate::config::tree::{Kind, Limit, Match, Measure, OnRevoke, Placement, Plan, Pool, Quota, Rate, Tenant};
 use sonic_rs::JsonValueTrait;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -79,7 +79,8 @@
         on_revoke: OnRevoke::Finish,
     };
     let base = shared(&d, base, &mut out);
-    let q = quota(&d, &mut out).unwrap_or(Limit::Window(Quota { calls: 100, window: 1_000 * MS }));
+    let usual = (Limit::Window(Quota { calls: 100, window: 1_000 * MS }), Measure::Calls);
+    let q = quota(&d, &mut out).unwrap_or(usual);
     let w = d.num("weight", 1, 1000, &mut out).unwrap_or(1);
     let pl = placement(&d, Placement::default(), &mut out);
 
@@ -269,17 +270,18 @@
     }
 }
 
-fn quota(r: &Read, out: &mut Vec<Trouble>) -> Option<Limit> {
+/// A limit and what it counts.
+fn quota(r: &Read, out: &mut Vec<Trouble>) -> Option<(Limit, Measure)> {
     let v = r.raw("quota")?;
     if v.is_str() {
         if v.as_str() == Some("none") {
-            return Some(Limit::Unlimited);
+            return Some((Limit::Unlimited, Measure::Calls));
         }
         out.push(wrong(&r.path("quota"), v, "\"none\", a rate with a burst, or calls in a window_ms"));
         return None;
     }
     let q = r.sub("quota", out);
-    if ["rate", "burst", "over", "slack"].iter().any(|k| q.raw(k).is_some()) {
+    if RATE.iter().any(|k| q.raw(k).is_some()) {
         return rate(&q, out);
     }
     q.only(&["calls", "window_ms"], out);
@@ -290,28 +292,52 @@
     }
     let c = q.num("calls", 1, 1_000_000_000, out);
     let w = q.num("window_ms", 100, 86_400_000, out);
-    Some(Limit::Window(Quota { calls: c?, window: w? * MS }))
+    Some((Limit::Window(Quota { calls: c?, window: w? * MS }), Measure::Calls))
 }
 
+/// What a rate may say of itself.
+const RATE: [&str; 6] = ["rate", "burst", "over", "slack", "measure", "untold"];
+/// The largest rate and burst, in thousandths of units.
+const RATE_MOST: u64 = 1_000_000_000_000;
 /// A unit may be used so long after it was taken, in parts of a second.
 const LATE: u64 = 2;
 
 /// `over` and `slack` say by how much the limit may be passed. They are used up, but for
 /// what units that are used late may add to an interval.
-fn rate(q: &Read, out: &mut Vec<Trouble>) -> Option<Limit> {
-    q.only(&["rate", "burst", "over", "slack"], out);
+fn rate(q: &Read, out: &mut Vec<Trouble>) -> Option<(Limit, Measure)> {
+    q.only(&RATE, out);
     for k in ["rate", "burst"] {
         if q.there() && q.raw(k).is_none() {
             out.push(Trouble::Missing { at: q.path(k), want: "a number".into() });
         }
     }
-    let r = q.milli("rate", 1, 1_000_000_000, out);
-    let b = q.milli("burst", 1_000, 1_000_000_000, out);
+    let r = q.milli("rate", 1, RATE_MOST, out);
+    let b = q.milli("burst", 1_000, RATE_MOST, out);
     let over = q.milli("over", 0, 1_000, out).unwrap_or(0);
-    let slack = q.milli("slack", 0, 1_000_000_000, out).unwrap_or(0);
+    let slack = q.milli("slack", 0, RATE_MOST, out).unwrap_or(0);
+    let measure = measure(q, out)?;
     let (r, b) = (r?, b?);
-    let free = (slack + b * over / 1000).saturating_sub(r / LATE);
-    Some(Limit::Rate(Rate { milli: r + r * over / 1000, burst: b + free }))
+    let free = slack + b * over / 1000;
+    let burst = match measure {
+        Measure::Calls => b + free.saturating_sub(r / LATE),
+        // Few calls make up a large part of such a limit, so what is used late is taken off the
+        // burst itself where the slack doesn't pay for it.
+        Measure::Tokens { .. } => (b + free).saturating_sub(r / LATE).max(b / 2),
+    };
+    Some((Limit::Rate(Rate { milli: r + r * over / 1000, burst }), measure))
+}
+
+/// What a rate counts: calls, unless it says otherwise.
+fn measure(q: &Read, out: &mut Vec<Trouble>) -> Option<Measure> {
+    let untold = q.num("untold", 1, u64::from(u32::MAX), out).and_then(|n| u32::try_from(n).ok());
+    match q.raw("measure").map(|v| (v, v.as_str())) {
+        None | Some((_, Some("calls"))) => Some(Measure::Calls),
+        Some((_, Some("tokens"))) => Some(Measure::Tokens { untold: untold.unwrap_or(1) }),
+        Some((v, _)) => {
+            out.push(wrong(&q.path("measure"), v, "calls or tokens"));
+            None
+        }
+    }
 }
 
 /// Weights in hundredths, and what the engines of a pool are like.
@@ -361,9 +387,9 @@
     Pool { name: n, workers: Some(ws.into_iter().map(str::to_owned).collect()), drain, placement }
 }
 
-fn tenant(n: &str, r: &Read, q: Limit, w: u64, p: &mut Plan, out: &mut Vec<Trouble>) {
+fn tenant(n: &str, r: &Read, q: (Limit, Measure), w: u64, p: &mut Plan, out: &mut Vec<Trouble>) {
     r.only(&["keys", "quota", "weight", "matches", "on_revoke", "urgency"], out);
-    let quota = quota(r, out).unwrap_or(q);
+    let (quota, measure) = quota(r, out).unwrap_or(q);
     let weight = r.num("weight", 1, 1000, out).unwrap_or(w);
     if r.there() && r.raw("keys").is_none() {
         out.push(Trouble::Missing { at: r.path("keys"), want: "a list of key hashes, which may be empty".into() });
@@ -399,6 +425,7 @@
     let t = Tenant {
         name: n.to_owned(),
         quota,
+        measure,
         weight,
         urgency: urgency(r, out),
         on_revoke: on_revoke(r, out),
--- a/crates/core/src/config/tree/effective.rs
+++ b/crates/core/src/config/tree/effective.rs
@@ -1,6 +1,6 @@
 //! What is in force for one name, with all that it inherits.
 
-use super::{Limit, Plan};
+use super::{Limit, Measure, Plan};
 use crate::config::check::{Trouble, judge};
 
 /// The settings of one match or tenant with every inherited value written out.
@@ -50,7 +50,7 @@
             Some(format!(
                 "{{\"name\":{},\"keys\":{n},\"quota\":{},\"weight\":{},\"matches\":{ms},\"on_revoke\":{r}}}",
                 q(&t.name),
-                limit(t.quota),
+                limit(t.quota, t.measure),
                 t.weight,
             ))
         }
@@ -77,10 +77,14 @@
 }
 
 /// A rate stands here with what `over` and `slack` add to it.
-fn limit(l: Limit) -> String {
+fn limit(l: Limit, m: Measure) -> String {
+    let counted = match m {
+        Measure::Calls => String::new(),
+        Measure::Tokens { untold } => format!(",\"measure\":\"tokens\",\"untold\":{untold}"),
+    };
     match l {
         Limit::Window(q) => format!("{{\"calls\":{},\"window_ms\":{}}}", q.calls, q.window / 1000),
-        Limit::Rate(r) => format!("{{\"rate\":{},\"burst\":{}}}", milli(r.milli), milli(r.burst)),
+        Limit::Rate(r) => format!("{{\"rate\":{},\"burst\":{}{counted}}}", milli(r.milli), milli(r.burst)),
         Limit::Unlimited => "\"none\"".to_owned(),
     }
 }
--- a/crates/core/src/config/tree/mod.rs
+++ b/crates/core/src/config/tree/mod.rs
@@ -4,4 +4,4 @@
 mod plan;
 
 pub use effective::{Reader, effective};
-pub use plan::{Kind, Limit, Match, OnRevoke, Placement, Plan, Pool, Quota, Rate, Tenant};
+pub use plan::{Kind, Limit, Match, Measure, OnRevoke, Placement, Plan, Pool, Quota, Rate, Tenant};
--- a/crates/core/src/config/tree/plan.rs
+++ b/crates/core/src/config/tree/plan.rs
@@ -57,13 +57,37 @@
     pub window: Micros,
 }
 
-/// Thousandths of calls: so many a second, and at most so many at once.
+/// Thousandths of units: so many a second, and at most so many at once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Rate {
     pub milli: u64,
     pub burst: u64,
 }
 
+/// What a rate counts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Measure {
+    /// Each call is one unit.
+    #[default]
+    Calls,
+    /// A call is as many units as it has tokens, in and out together; one that doesn't tell them
+    /// is `untold` units.
+    Tokens { untold: u32 },
+}
+
+impl Measure {
+    /// The units of a call that tells these tokens, in and out; nought and nought tell nothing.
+    pub fn units(self, (tokens_in, tokens_out): (u32, u32)) -> u32 {
+        match self {
+            Measure::Calls => 1,
+            Measure::Tokens { untold } => match tokens_in.saturating_add(tokens_out) {
+                0 => untold.max(1),
+                tokens => tokens,
+            },
+        }
+    }
+}
+
 /// How a tenant's calls are limited over all nodes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Limit {
@@ -153,6 +177,8 @@
 pub struct Tenant {
     pub name: String,
     pub quota: Limit,
+    /// What its rate counts.
+    pub measure: Measure,
     pub weight: u64,
     /// Its rank, before that of the match.
     pub urgency: Option<u8>,
@@ -231,6 +257,7 @@
         Tenant {
             name: String::new(),
             quota: Limit::Unlimited,
+            measure: Measure::Calls,
             weight: 1,
             urgency: None,
             on_revoke: None,
--- a/crates/core/src/node/accept.rs
+++ b/crates/core/src/node/accept.rs
@@ -48,6 +48,7 @@
             return;
         }
         let accepted = self.agree.accepted.clone();
+        let accepted = accepted.map(|(ballot, d)| (ballot, d.stripped()));
         let then = self.mail(by, Msg::Promise { instance, ballot, accepted }, now);
         self.write(vec![Op::Promise { instance, ballot }], then.into_iter().collect());
     }
@@ -57,6 +58,7 @@
         if !self.bows(by, instance, ballot, now) {
             return;
         }
+        let Some(decree) = self.agree.restore(decree) else { return };
         if self.agree.accepted.is_none() {
             self.agree.accepted_at = now;
         }
--- a/crates/core/src/node/found.rs
+++ b/crates/core/src/node/found.rs
@@ -82,6 +82,7 @@
                 cores: set,
                 revision: 0,
                 body: "{}".into(),
+                patch: None,
             };
             self.learned(d, now);
         }
--- a/crates/core/src/node/learn.rs
+++ b/crates/core/src/node/learn.rs
@@ -69,13 +69,34 @@
         }
     }
 
-    pub(super) fn on_learn(&mut self, decrees: Vec<Decree>, now: Micros) {
+    pub(super) fn on_learn(&mut self, by: NodeId, decrees: Vec<Decree>, now: Micros) {
+        let newest = decrees.last().map(|d| d.version);
+        let whole = self.restore_all(decrees);
+        if whole.last().map(|d| d.version) != newest && self.me.core {
+            // It came as a patch of one that this core does not hold.
+            self.send(by, Msg::Have { version: self.have.unwrap_or(0) }, now);
+        }
         // The newest comes into force at once; those before it only fill the history.
-        for d in decrees.into_iter().rev() {
+        for d in whole.into_iter().rev() {
             self.learned(d, now);
         }
     }
 
+    /// Versions whole, in their order, each made from the one before it where it came as a patch;
+    /// those that can't be made are left out.
+    pub(super) fn restore_all(&self, decrees: Vec<Decree>) -> Vec<Decree> {
+        let mut whole: Vec<Decree> = Vec::with_capacity(decrees.len());
+        for d in decrees {
+            let before = whole.last().filter(|w| w.version + 1 == d.version && d.is_stripped());
+            let restored = match before {
+                Some(before) => d.restored(before),
+                None => self.agree.restore(d),
+            };
+            whole.extend(restored);
+        }
+        whole
+    }
+
     pub(super) fn on_have(&mut self, by: NodeId, version: Version, now: Micros) {
         let e = self.agree.have.entry(by).or_insert(version);
         *e = (*e).max(version);
@@ -90,13 +111,20 @@
     pub(super) fn teach(&mut self, to: NodeId, version: Version, now: Micros) {
         let mut bytes = 0;
         let newest = self.version();
-        let room = |d: &&Decree| {
-            bytes += d.body.len();
+        // What comes right after another one that is held there is told as a patch.
+        let held = |v: Version| v == version + 1 || self.agree.history.contains_key(&(v - 1));
+        let told = |d: &Decree| if held(d.version) { d.stripped() } else { d.clone() };
+        let room = |d: &Decree| {
+            bytes += d.size();
             Some(d.version) == newest || bytes <= TAUGHT_MOST
         };
         let mut decrees: Vec<_> =
-            self.agree.history.range(version + 1..).rev().map(|x| x.1).take_while(room).cloned().collect();
+            self.agree.history.range(version + 1..).rev().map(|x| told(x.1)).take_while(room).collect();
         decrees.reverse();
+        // The first of those that had room has nothing before it.
+        if let Some(first) = decrees.first_mut().filter(|d| d.version > version + 1 && d.is_stripped()) {
+            first.body = self.agree.history.get(&first.version).map(|d| d.body.clone()).unwrap_or_default();
+        }
         if !decrees.is_empty() {
             self.send(to, Msg::Learn { decrees }, now);
         }
--- a/crates/core/src/node/propose.rs
+++ b/crates/core/src/node/propose.rs
@@ -3,7 +3,7 @@
 use super::{Effect, Node};
 use crate::agree::{Asker, Known, PendingChange, Phase, Proposal, majority};
 use crate::base::{ChangeId, MS, Micros, NodeId, SEC, Version};
-use crate::config::Plan;
+use crate::config::{Patch, Plan, Trouble};
 use crate::peer::{Ballot, Change, Core, Decree, Fate, Msg};
 use std::cmp::Ordering;
 use std::collections::BTreeSet;
@@ -16,6 +16,11 @@
 /// How many bytes the changes may have that wait at one core at a time.
 const WAITING_MOST: usize = 32 << 20;
 
+/// All that is wrong, in one line.
+fn listed(troubles: &[Trouble]) -> String {
+    troubles.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+}
+
 impl Node {
     /// Takes a change that this core will try to have agreed.
     pub(super) fn add_pending_change(
@@ -34,6 +39,7 @@
                 }
                 r => r.err(),
             },
+            Change::Patch(patch) => self.unfit_patch(patch, base),
             Change::Cores(_) => None,
             Change::Newest => return self.read_newest(from, now),
             Change::Look => {
@@ -73,13 +79,37 @@
         if s.len() > BODY_MOST {
             return Err(format!("the configuration has {} bytes; make it {BODY_MOST} at most", s.len()));
         }
-        (self.me.read)(s).map_err(|v| v.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))
+        (self.me.read)(s).map_err(|v| listed(&v))
+    }
+
+    /// What is wrong with a patch: by itself, or of the document that stands where that is the one
+    /// that it is built on.
+    fn unfit_patch(&self, patch: &Patch, base: u64) -> Option<String> {
+        if patch.number <= base {
+            return Some(format!(
+                "/{}: {} is not above {base}, which it is built on; count on",
+                patch.number_at, patch.number
+            ));
+        }
+        let troubles = patch.troubles();
+        if !troubles.is_empty() {
+            return Some(listed(&troubles));
+        }
+        let stands = self.agree.last().filter(|d| d.revision == base)?;
+        self.patched(stands, patch).err()
+    }
+
+    /// The document that a patch makes of the one that stands, and its plan.
+    fn patched(&self, stands: &Decree, patch: &Patch) -> Result<(String, Plan), String> {
+        let body = patch.apply(&stands.body).map_err(|t| listed(&t))?;
+        let plan = self.read(&body)?;
+        Ok((body, plan))
     }
 
     /// What a change's base is compared with: documents have numbers of their own.
     fn stands(&self, c: &Change) -> Option<u64> {
         match c {
-            Change::Doc(_) => self.agree.last().map(|d| d.revision),
+            Change::Doc(_) | Change::Patch(_) => self.agree.last().map(|d| d.revision),
             _ => self.version(),
         }
     }
@@ -223,10 +253,17 @@
         now: Micros,
     ) {
         let cores = self.agree.cores().to_vec();
-        let Some(l) = self.agree.proposal.as_mut() else { return };
+        let Some(l) = self.agree.proposal.as_ref() else { return };
         if l.instance != instance || l.ballot != ballot || l.phase != Phase::Prepare {
             return;
         }
+        // What was accepted can't be passed over, so one whose body can't be made is no promise.
+        let accepted = match accepted.map(|(ballot, d)| Some((ballot, self.agree.restore(d)?))) {
+            None => None,
+            Some(Some(whole)) => Some(whole),
+            Some(None) => return,
+        };
+        let Some(l) = self.agree.proposal.as_mut() else { return };
         l.answered.insert(by);
         if let Some(a) = accepted
             && l.highest_accepted.as_ref().is_none_or(|b| a.0 > b.0)
@@ -258,7 +295,7 @@
             l.value = Some(decree.clone());
             l.due = now + ROUND * 2;
         }
-        self.cast(&Msg::Accept { ballot, decree }, now);
+        self.cast(&Msg::Accept { ballot, decree: decree.stripped() }, now);
     }
 
     fn fresh_decree(&self, instance: Version, now: Micros) -> Option<Decree> {
@@ -269,14 +306,21 @@
             .pending_changes
             .iter()
             .find(|w| self.version() == Some(instance - 1) && self.may_propose(w, over, now))?;
-        let mut n = Decree { version: instance, change_id: w.change_id, ..d.clone() };
+        let mut n = Decree { version: instance, change_id: w.change_id, patch: None, ..d.clone() };
         match &w.change {
             Change::Tree(s) => n.body.clone_from(s),
             Change::Doc(s) => {
                 n.revision = self.read(s).ok()?.revision;
                 n.body.clone_from(s);
             }
+            Change::Patch(patch) => {
+                let (body, plan) = self.patched(d, patch).ok()?;
+                n.revision = plan.revision;
+                n.body = body;
+                n.patch = Some(patch.clone());
+            }
             Change::Cores(cs) => {
+                n.patch = Some(Patch::unchanged());
                 n.old.clone_from(&d.cores);
                 n.cores.clone_from(cs);
                 n.cores.sort();
@@ -312,7 +356,7 @@
         to.remove(&self.me.node_id);
         self.learned(d.clone(), now);
         for n in to {
-            self.send(n, Msg::Learn { decrees: vec![d.clone()] }, now);
+            self.send(n, Msg::Learn { decrees: vec![d.stripped()] }, now);
         }
     }
 
--- a/crates/core/src/node/step.rs
+++ b/crates/core/src/node/step.rs
@@ -100,15 +100,16 @@
             Msg::Refuse { instance, ballot } => self.on_refuse(instance, ballot, now),
             Msg::Accept { ballot, decree } => self.on_accept(by, ballot, decree, now),
             Msg::Accepted { instance, ballot } => self.on_accepted(by, instance, ballot, now),
-            Msg::Learn { decrees } => self.on_learn(decrees, now),
+            Msg::Learn { decrees } => self.on_learn(by, decrees, now),
             Msg::Have { version } => self.on_have(by, version, now),
             Msg::Confirm { seq, version } => self.on_confirm(by, seq, version, now),
             Msg::Confirmed { seq, version, have, ready, pend } => {
                 self.on_confirmed(by, seq, version, (have, ready), pend, now);
             }
             Msg::Ask { seq, version, idx, of, svcs } => self.on_ask(by, seq, version, idx, of, svcs, now),
-            Msg::Tell { ask, since, stamp, version, decree, idx, whole, rows } => {
-                self.on_tell((by, f.incarnation), (ask, since, stamp), version, decree, (idx, whole), &rows, now);
+            Msg::Tell { ask, since, stamp, version, before, decree, idx, whole, rows } => {
+                self.take_told(before, decree, now);
+                self.on_tell((by, f.incarnation), (ask, since, stamp), version, (idx, whole), &rows, now);
             }
             Msg::Ends { rows } => self.on_ends(by, &rows, lag, now),
             Msg::EndsOk { keys } => self.on_ends_ok(by, &keys, now),
--- a/crates/core/src/node/tell.rs
+++ b/crates/core/src/node/tell.rs
@@ -113,13 +113,15 @@
         let next = mine.map_or(0, |v| v + 1);
         // Homes of pools alone name the version; the tree comes from those of the configuration.
         let conf = s.svcs.iter().any(|x| x == CONFIG);
-        let decree: Option<Decree> = if conf && s.version < next { self.agree.last().cloned() } else { None };
+        let held = s.version.checked_sub(1);
+        let (before, decree) = if conf && s.version < next { self.told_versions(held) } else { (Vec::new(), None) };
         let stamp = self.fresh.since(mine).filter(|_| conf).map(|t| now.saturating_sub(t));
         let m = Msg::Tell {
             ask: s.ask,
             since: now.saturating_sub(s.at),
             stamp,
             version: mine.unwrap_or(0),
+            before,
             decree,
             idx: self.news.idx,
             whole: now >= self.whole_at(),
@@ -133,10 +135,43 @@
         self.send(to, m, now);
     }
 
+    /// The newest version for one who holds this one: as patches where that is less.
+    fn told_versions(&self, held: Option<Version>) -> (Vec<Decree>, Option<Decree>) {
+        let newest = self.agree.last().cloned();
+        let size = newest.as_ref().map_or(0, |d| d.body.len());
+        let patches = held.and_then(|v| self.agree.patches.after(v));
+        match patches.filter(|chain| chain.iter().map(Decree::size).sum::<usize>() < size) {
+            Some(mut chain) => {
+                let last = chain.pop();
+                (chain, last)
+            }
+            None => (Vec::new(), newest),
+        }
+    }
+
+    /// Takes the version that a home told: of those that lead to it only the patches are kept.
+    pub(super) fn take_told(&mut self, before: Vec<Decree>, decree: Option<Decree>, now: Micros) {
+        let Some(newest) = decree else { return };
+        let held = self.version();
+        let later = |d: &Decree| held.is_none_or(|v| d.version > v);
+        let before: Vec<_> = before.into_iter().filter(later).collect();
+        if !later(&newest) {
+            return;
+        }
+        let version = newest.version;
+        let mut chain = before.clone();
+        chain.push(newest);
+        let Some(whole) = self.restore_all(chain).pop().filter(|d| d.version == version) else { return };
+        for d in &before {
+            self.agree.patches.lead_to(d);
+        }
+        self.learned(whole, now);
+    }
+
     /// Hands the newest version to those who ask for it here; a large one to a few at a time.
     pub(super) fn push_versions(&mut self, now: Micros) {
         let next = self.version().map_or(0, |v| v + 1);
-        let size = self.agree.last().map_or(0, |d| d.body.len());
+        let size = self.agree.last().map_or(0, |d| d.stripped().size());
         let most = (PUSH_BYTES / size.max(1)).max(1);
         let to: Vec<_> = self.news.subs.iter().filter(|s| s.1.version < next).map(|s| *s.0).take(most).collect();
         for n in to {
@@ -174,14 +209,10 @@
         by: (NodeId, Incarnation),
         (ask, since, stamp): (u64, Micros, Option<Micros>),
         version: Version,
-        decree: Option<Decree>,
         (idx, whole): (u64, bool),
         rows: &[Row],
         now: Micros,
     ) {
-        if let Some(d) = decree {
-            self.learned(d, now);
-        }
         let Some(u) = self.news.ups.get_mut(&by.0) else { return };
         let Some(at) = u.sent.get(&ask).copied() else { return };
         if u.of != by.1 {
--- a/crates/core/src/peer/digest.rs
+++ b/crates/core/src/peer/digest.rs
@@ -14,7 +14,7 @@
     pub since: Version,
     /// The operator's own number of the body.
     pub revision: u64,
-    /// SHA-256 of what was changed: the body, or the list of cores.
+    /// SHA-256 of what was changed: the body, the patch, or the list of cores.
     #[musli(bytes)]
     pub content: [u8; 32],
 }
@@ -23,7 +23,11 @@
     /// The digest of a version.
     pub fn of(decree: &Decree) -> Digest {
         let changes_cores = decree.version > 0 && decree.since == decree.version;
-        let content = if changes_cores { hash_cores(&decree.cores) } else { hash_body(&decree.body) };
+        let content = match &decree.patch {
+            _ if changes_cores => hash_cores(&decree.cores),
+            Some(patch) => patch.hash(),
+            None => hash_body(&decree.body),
+        };
         Digest {
             version: decree.version,
             change_id: decree.change_id,
@@ -37,6 +41,7 @@
     pub fn is(&self, change: &Change) -> bool {
         match change {
             Change::Tree(body) | Change::Doc(body) => hash_body(body) == self.content,
+            Change::Patch(patch) => patch.hash() == self.content,
             Change::Cores(cores) => {
                 let mut sorted = cores.clone();
                 sorted.sort();
--- a/crates/core/src/peer/frame.rs
+++ b/crates/core/src/peer/frame.rs
@@ -6,7 +6,7 @@
 use musli::{Decode, Encode};
 
 /// The version of the peer protocol that stands at the head of each frame.
-pub const WIRE: u8 = 2;
+pub const WIRE: u8 = 3;
 /// More bytes are no frame.
 pub const LARGE: usize = 16 << 20;
 
--- a/crates/core/src/peer/msg.rs
+++ b/crates/core/src/peer/msg.rs
@@ -2,6 +2,7 @@
 
 use super::Digest;
 use crate::base::{ChangeId, Incarnation, Micros, NodeId, Version};
+use crate::config::Patch;
 use musli::{Decode, Encode};
 
 /// A place among the cores that a version names.
@@ -25,6 +26,49 @@
     /// The operator's own number of the body.
     #[musli(default)]
     pub revision: u64,
+    /// What makes the body of the version before this body, where it came so; between nodes that
+    /// hold the version before it stands for the body, which is left empty.
+    #[musli(default)]
+    pub patch: Option<Patch>,
+}
+
+impl Decree {
+    /// The same without its body, for one who holds the version before.
+    pub fn stripped(&self) -> Decree {
+        let body = if self.patch.is_some() { String::new() } else { self.body.clone() };
+        Decree {
+            version: self.version,
+            change_id: self.change_id,
+            fleet: self.fleet,
+            since: self.since,
+            old: self.old.clone(),
+            cores: self.cores.clone(),
+            body,
+            revision: self.revision,
+            patch: self.patch.clone(),
+        }
+    }
+
+    /// Whether its body is to be made from the version before it.
+    pub fn is_stripped(&self) -> bool {
+        self.body.is_empty() && self.patch.is_some()
+    }
+
+    /// This version whole, given the one before it; none if that is another one.
+    pub fn restored(mut self, before: &Decree) -> Option<Decree> {
+        if self.is_stripped() {
+            if before.version + 1 != self.version || before.is_stripped() {
+                return None;
+            }
+            self.body = self.patch.as_ref()?.apply(&before.body).ok()?;
+        }
+        Some(self)
+    }
+
+    /// About how many bytes it has on its way.
+    pub fn size(&self) -> usize {
+        self.body.len() + self.patch.as_ref().map_or(0, Patch::size)
+    }
 }
 
 /// The number of a ballot, unlike that of any other proposer or life.
@@ -111,6 +155,8 @@
     /// A document that has a number of its own, built on the one with the number that is
     /// its base. Versions that change nothing of it, such as of the cores, don't outdate it.
     Doc(String),
+    /// The document with the number that is its base, changed in single items.
+    Patch(Patch),
     Cores(Vec<Core>),
     /// Nothing is changed: how did this change end?
     Look,
@@ -130,6 +176,7 @@
     pub fn size(&self) -> usize {
         match self {
             Change::Tree(body) | Change::Doc(body) => body.len(),
+            Change::Patch(patch) => patch.size(),
             Change::Cores(_) | Change::Look | Change::History | Change::Newest => 0,
         }
     }
@@ -172,12 +219,16 @@
     pub key: u64,
     /// The share held, in millionths.
     pub has: u32,
-    /// Thousandths of calls that came free when the share shrank.
+    /// Thousandths of units that came free when the share shrank.
     pub returned: u64,
-    /// Thousandths of calls looked for in a second.
+    /// Thousandths of units looked for in a second.
     pub want: u64,
-    /// Calls that find nothing here.
+    /// The units of calls that find nothing here.
     pub need: u32,
+    /// The units of the first of these calls, of use only together.
+    pub first: u32,
+    /// The units of a usual call.
+    pub each: u32,
 }
 
 /// The answer to the row in the same place of an ask.
@@ -187,9 +238,9 @@
     /// False where the answerer doesn't hold the duty, or not this row.
     pub yes: bool,
     pub share: u32,
-    /// Thousandths of calls that may be used at once on top.
+    /// Thousandths of units that may be used at once on top.
     pub add: u64,
-    /// Calls that wait now and may go, whatever is held.
+    /// Units for calls that wait now, which may go whatever is held.
     pub lend: u32,
 }
 
@@ -283,6 +334,9 @@
         since: Micros,
         stamp: Option<Micros>,
         version: Version,
+        /// The versions from the asker's on, as patches, where they lead to the one told.
+        #[musli(default)]
+        before: Vec<Decree>,
         decree: Option<Decree>,
         idx: u64,
         whole: bool,
--- a/crates/core/src/quota/bucket.rs
+++ b/crates/core/src/quota/bucket.rs
@@ -10,9 +10,9 @@
 pub const WHOLE: u32 = 1_000_000;
 /// How long a share is held from the moment that its holder sent its ask.
 pub const LEASE: Micros = 4 * SEC;
-/// One call: thousandths of it, times millionths of a share, times microseconds.
+/// One unit: thousandths of it, times millionths of a share, times microseconds.
 pub const TOKEN: u128 = 1_000 * MILLI;
-/// A thousandth of a call.
+/// A thousandth of a unit.
 pub const MILLI: u128 = 1_000_000 * 1_000_000;
 /// A unit that was not sent by then needs another one.
 const KEEP: Micros = 500 * MS;
@@ -26,6 +26,8 @@
 pub const LOAN: Micros = 200 * MS;
 /// For so many calls at once.
 const MOST: u32 = 64;
+/// The usual call follows the last eight or so.
+const USUAL: u64 = 8;
 /// An ask unanswered for so long is sent anew, to another core.
 pub const AGAIN: Micros = 250 * MS;
 /// An idle share is renewed when it has less than this left.
@@ -66,7 +68,11 @@
     /// What a smaller share could not hold, for the holder.
     returned: u128,
     looked: u64,
+    /// The units of a usual call.
+    each: u32,
+    /// Units that calls found missing, and those of the first call that waits for some.
     short: u32,
+    first: u32,
     since: Micros,
     want: u64,
     /// The newest ask; answers to others say nothing.
@@ -165,55 +171,93 @@
         self.share
     }
 
-    /// A unit for a call that comes now.
+    /// One unit for a call that comes now.
     pub fn take(&mut self, now: Micros) -> Take {
-        self.looked += 1;
-        let t = self.draw(now);
+        self.take_units(1, now)
+    }
+
+    /// The units of a call that comes now, all or none.
+    pub fn take_units(&mut self, units: u32, now: Micros) -> Take {
+        self.look_for(units);
+        let t = self.draw(units, now);
         if !matches!(t, Take::Dry { .. } | Take::Empty) {
             return t;
         }
-        self.short = self.short.saturating_add(1);
-        self.dry(now)
+        self.miss(units);
+        self.dry(units, now)
+    }
+
+    fn look_for(&mut self, units: u32) {
+        self.looked += u64::from(units);
+        let usual = (u64::from(self.each.max(1)) * (USUAL - 1) + u64::from(units) + USUAL / 2) / USUAL;
+        self.each = if self.each == 0 { units } else { u32::try_from(usual).unwrap_or(u32::MAX) };
+    }
+
+    fn miss(&mut self, units: u32) {
+        if self.short == 0 {
+            self.first = units;
+        }
+        self.short = self.short.saturating_add(units);
+    }
+
+    /// The units of the first call that waits.
+    pub fn set_first(&mut self, units: u32) {
+        self.first = units;
     }
 
-    /// As `take` does, for one who was counted already.
-    pub fn draw(&mut self, now: Micros) -> Take {
+    /// As `take_units` does, for one who was counted already.
+    pub fn draw(&mut self, units: u32, now: Micros) -> Take {
         self.turn(now);
-        if self.free >= TOKEN {
-            self.free -= TOKEN;
-            self.credit += TOKEN;
-            self.out.push_back((now, TOKEN));
+        let price = u128::from(units) * TOKEN;
+        if self.free >= price {
+            let window = self.spend(price, now);
             let low = self.free < cap(self.rate(), self.share) / 4 && self.early(now);
-            return Take::Took { window: now, until: now + KEEP, low };
+            return Take::Took { window, until: now + KEEP, low };
         }
-        if self.loan.0 > 0 && now < self.loan.1 {
-            self.loan.0 -= 1;
-            // One that comes back brings nothing: it was spent where it was lent.
+        let lent = if now < self.loan.1 { self.loan.0 } else { 0 };
+        if lent >= units {
+            self.loan.0 -= units;
+            // What comes back of it brings nothing: it was spent where it was lent.
             return Take::Took { window: 0, until: self.loan.1, low: false };
         }
-        self.dry(now)
+        let rest = price - u128::from(lent) * TOKEN;
+        if lent > 0 && self.free >= rest {
+            self.loan.0 = 0;
+            return Take::Took { window: self.spend(rest, now), until: self.loan.1, low: false };
+        }
+        self.dry(units, now)
+    }
+
+    /// Takes so much of what is free, under a number by which it may come back.
+    fn spend(&mut self, price: u128, now: Micros) -> Micros {
+        let window = self.out.back().map_or(now, |last| now.max(last.0 + 1));
+        self.free -= price;
+        self.credit += price;
+        self.out.push_back((window, price));
+        window
     }
 
     /// What one finds who stands behind others.
-    pub fn look(&mut self, now: Micros) -> Take {
-        self.looked += 1;
-        self.short = self.short.saturating_add(1);
+    pub fn look(&mut self, units: u32, now: Micros) -> Take {
+        self.look_for(units);
+        self.miss(units);
         self.turn(now);
-        self.dry(now)
+        self.dry(units, now)
     }
 
-    fn dry(&self, now: Micros) -> Take {
+    fn dry(&self, units: u32, now: Micros) -> Take {
         if self.heard.is_none_or(|h| now >= h + LEASE) {
             return Take::Empty;
         }
         let more = self.open || (self.vain && now < self.fills) || self.early(now);
         let (r, s) = (self.rate(), self.share);
         let pace = flow(r, s, 1);
-        if pace == 0 || cap(r, s) < TOKEN {
+        let price = u128::from(units) * TOKEN;
+        if pace == 0 || cap(r, s) < price {
             return Take::Dry { wait: Micros::MAX / 4, each: Micros::MAX / 4, more };
         }
-        let wait = Micros::try_from(TOKEN.saturating_sub(self.free).div_ceil(pace)).unwrap_or(Micros::MAX / 4);
-        let each = Micros::try_from(TOKEN.div_ceil(pace)).unwrap_or(Micros::MAX / 4);
+        let wait = Micros::try_from(price.saturating_sub(self.free).div_ceil(pace)).unwrap_or(Micros::MAX / 4);
+        let each = Micros::try_from(price.div_ceil(pace)).unwrap_or(Micros::MAX / 4);
         Take::Dry { wait, each, more }
     }
 
@@ -278,7 +322,7 @@
         busy || ends || (idle && self.share == 0) || self.asked == 0 && eager
     }
 
-    /// What to ask the holder for; `n` numbers the ask, `waits` is how many calls wait.
+    /// What to ask the holder for; `n` numbers the ask, `waits` is how many units calls wait for.
     pub fn ask(&mut self, key: u64, n: u64, waits: u64, now: Micros) -> ShareAsk {
         self.turn(now);
         let gap = now.saturating_sub(self.since);
@@ -296,10 +340,12 @@
         self.mute = if self.open { self.mute + 1 } else { 0 };
         let returned = u64::try_from(self.returned / MILLI).unwrap_or(0);
         // Until an answer comes those that found nothing are asked for again.
-        let need = self.short.max(u32::try_from(waits).unwrap_or(u32::MAX)).min(MOST);
+        let each = self.each.max(1);
+        let need = self.short.max(u32::try_from(waits).unwrap_or(u32::MAX)).min(MOST.saturating_mul(each));
+        let first = self.first.clamp(1, need.max(1));
         (self.short, self.need) = (self.short.min(need), need);
         (self.n, self.asked, self.open, self.returned, self.urgent) = (n, now, true, 0, false);
-        ShareAsk { key, has: self.share, returned, want: self.want, need }
+        ShareAsk { key, has: self.share, returned, want: self.want, need, first, each }
     }
 
     /// The holder's word on the ask `n` that was sent at `at`.
@@ -326,7 +372,7 @@
         }
         self.short -= self.short.min(self.need);
         self.loan = (g.lend, at + LOAN);
-        self.vain = self.need > 0 && g.lend == 0 && self.free < TOKEN;
+        self.vain = self.need > 0 && g.lend == 0 && self.free < u128::from(self.first.max(1)) * TOKEN;
         self.urgent |= self.short > 0;
         self.free = self.free.min(full);
         self.share = g.share;
--- a/crates/core/src/quota/pool.rs
+++ b/crates/core/src/quota/pool.rs
@@ -13,7 +13,7 @@
 const FORGOTTEN: Micros = LEASE;
 /// Of what a node's clock counts this many fiftieths have passed at least.
 const SLOWEST_CLOCK: u64 = 49;
-/// Thousandths of calls a second from which on a node holds a share by what it looks for.
+/// Thousandths of usual calls a second from which on a node holds a share by what it looks for.
 const STEADY: u64 = 4_000;
 /// For so long after somebody got less than its due, others give back the least surplus.
 const LACK: Micros = 1_000 * MS;
@@ -101,12 +101,13 @@
     /// What `by` should hold: by what it looks for against the others.
     fn aim(&self, r: Rate, q: &ShareAsk, nodes: u64) -> u32 {
         let whole = u64::from(WHOLE);
-        // Less than this never brings a whole unit.
-        let one = (whole * 1_000).div_ceil(r.burst.max(1)).min(whole);
+        // Less than this never brings the units of a usual call.
+        let each = u64::from(q.each.max(1));
+        let one = (whole * 1_000 * each).div_ceil(r.burst.max(1)).min(whole);
         let all = self.want.max(1);
         // Half follows what is looked for, where that is steady enough to be measured; the
         // rest stays here, for who finds nothing.
-        let steady = if q.want >= STEADY { q.want } else { 0 };
+        let steady = if q.want >= STEADY * each { q.want } else { 0 };
         let share = part(steady, whole / 2, all.max(r.milli / 2));
         let near = q.want > 0 && self.want <= r.milli || self.want * 2 <= r.milli;
         let floor = if near && one * nodes.max(1) * 4 <= whole { one } else { 0 };
@@ -141,12 +142,16 @@
         self.free = (self.free + returned).min(cap(r, self.left()));
 
         let aim = self.aim(r, q, nodes);
-        let step = (u64::from(q.has) / 8).max(1_000 * u64::from(WHOLE) / r.burst.max(1) / 2);
+        let usual = 1_000 * u64::from(q.each.max(1));
+        let step = (u64::from(q.has) / 8).max(usual * u64::from(WHOLE) / r.burst.max(1) / 2);
         let far = u64::from(aim.abs_diff(q.has)) >= if now < self.lack && aim < q.has { 1 } else { step };
         let mut give = ShareGiven { yes: true, share: q.has, ..ShareGiven::default() };
         // Who finds nothing is lent units at once: they are spent here, and are of no use
         // there once a moment has passed, so they need no share to be held in.
-        let lend = u64::from(q.need).min(u64::try_from(self.free / TOKEN).unwrap_or(0));
+        // A part of a call's units is of no use.
+        let first = u64::from(q.first.max(1));
+        let whole_calls = u64::try_from(self.free / TOKEN).unwrap_or(0) / first * first;
+        let lend = u64::from(q.need).min(whole_calls);
         self.free -= u128::from(lend) * TOKEN;
         give.lend = u32::try_from(lend).unwrap_or(0);
         if aim > q.has && far {
--- a/crates/core/src/quota/rates.rs
+++ b/crates/core/src/quota/rates.rs
@@ -63,21 +63,26 @@
     }
 
     /// None where the tenant's limit is of another form.
-    pub fn take(&self, t: &str, now: Micros) -> Option<Take> {
+    pub fn take(&self, t: &str, units: u32, now: Micros) -> Option<Take> {
         match self.kept.at(t).get_mut(t)? {
             Kept::Free => Some(Take::Took { window: 0, until: Micros::MAX, low: false }),
-            Kept::Rate(b) => Some(b.take(now)),
+            Kept::Rate(b) => Some(b.take_units(units, now)),
         }
     }
 
     /// For one who waited, and was counted when it came.
-    pub fn draw(&self, t: &str, now: Micros) -> Option<Take> {
-        self.with(t, |b| b.draw(now))
+    pub fn draw(&self, t: &str, units: u32, now: Micros) -> Option<Take> {
+        self.with(t, |b| b.draw(units, now))
     }
 
     /// For one who comes while others wait.
-    pub fn look(&self, t: &str, now: Micros) -> Option<Take> {
-        self.with(t, |b| b.look(now))
+    pub fn look(&self, t: &str, units: u32, now: Micros) -> Option<Take> {
+        self.with(t, |b| b.look(units, now))
+    }
+
+    /// See [`Bucket::set_first`].
+    pub fn set_first(&self, t: &str, units: u32) {
+        self.with(t, |b| b.set_first(units));
     }
 
     /// False where the tenant's limit is of another form.
--- a/crates/core/src/quota/slices.rs
+++ b/crates/core/src/quota/slices.rs
@@ -62,9 +62,14 @@
 }
 
 impl Slices {
-    /// A unit for a call that comes now.
+    /// One unit for a call that comes now.
     pub fn take(&self, t: &str, now: Micros) -> Take {
-        if let Some(r) = self.rates.take(t, now) {
+        self.take_units(t, 1, now)
+    }
+
+    /// The units of a call that comes now; of a window each call takes one.
+    pub fn take_units(&self, t: &str, units: u32, now: Micros) -> Take {
+        if let Some(r) = self.rates.take(t, units, now) {
             return r;
         }
         let mut g = self.slices.at(t);
--- a/crates/core/src/wait/list.rs
+++ b/crates/core/src/wait/list.rs
@@ -54,6 +54,11 @@
         self.len
     }
 
+    /// All that wait, in no order that matters.
+    pub fn iter(&self) -> impl Iterator<Item = &T> {
+        self.flows.values().flat_map(|f| f.q.iter().map(|i| &i.val))
+    }
+
     /// Whether nobody waits.
     pub fn is_empty(&self) -> bool {
         self.len == 0
--- a/crates/core/tests/digests.rs
+++ b/crates/core/tests/digests.rs
@@ -19,6 +19,7 @@
         cores: vec![core(1)],
         body: format!("document {version}"),
         revision: 3 * version,
+        patch: None,
     }
 }
 
--- /dev/null
+++ b/crates/core/tests/documents/patches.rs
@@ -0,0 +1,305 @@
+//! Changes of single items: what they make of a document, and how nodes agree on them.
+
+use super::net::{ALL, CORES, FRONT, Net};
+use sumacvale_core::base::{ChangeId, SEC};
+use sumacvale_core::config::{Item, ListPatch, Patch, Plan, Trouble};
+use sumacvale_core::node::Event;
+use sumacvale_core::peer::{Change, Decree, Fate};
+
+fn item(name: &str, what: u64) -> Item {
+    Item { name: name.into(), json: format!("{{\"name\":\"{name}\",\"what\":{what}}}") }
+}
+
+fn patch(number: u64, put: &[(&str, u64)], remove: &[&str]) -> Patch {
+    let put = put.iter().map(|(name, what)| item(name, *what)).collect();
+    let remove = remove.iter().map(|name| (*name).to_owned()).collect();
+    Patch { number_at: "number".into(), number, lists: vec![ListPatch { list: "rows".into(), put, remove }] }
+}
+
+fn document(number: u64, rows: &[(&str, u64)]) -> String {
+    let rows: Vec<_> = rows.iter().map(|(name, what)| item(name, *what).json).collect();
+    format!("{{\"number\":{number},\"kept\":[1,{{}}],\"rows\":[{}]}}", rows.join(","))
+}
+
+#[test]
+fn a_patch_adds_replaces_and_removes_by_name() {
+    let old = document(3, &[("a", 1), ("b", 2), ("c", 3)]);
+    for (name, put, remove, want) in [
+        ("added", vec![("d", 4)], vec![], vec![("a", 1), ("b", 2), ("c", 3), ("d", 4)]),
+        ("replaced in its place", vec![("b", 9)], vec![], vec![("a", 1), ("b", 9), ("c", 3)]),
+        ("removed", vec![], vec!["a", "c"], vec![("b", 2)]),
+        ("all at once", vec![("e", 5), ("c", 7)], vec!["a"], vec![("b", 2), ("c", 7), ("e", 5)]),
+        ("every one", vec![], vec!["a", "b", "c"], vec![]),
+    ] {
+        let made = patch(8, &put, &remove).apply(&old).expect(name);
+        assert_eq!(made, document(8, &want), "{name}");
+    }
+    let made = patch(8, &[("a", 1)], &[]).apply("{\"number\":1}").expect("a list that was not there");
+    assert_eq!(made, "{\"number\":8,\"rows\":[{\"name\":\"a\",\"what\":1}]}");
+    assert_eq!(Patch::unchanged().apply(&old).expect("unchanged"), old);
+}
+
+#[test]
+fn a_patch_with_anything_wrong_changes_nothing() {
+    let old = document(3, &[("a", 1), ("b", 2)]);
+    let two_lists = Patch { lists: vec![ListPatch::default(), ListPatch::default()], ..patch(8, &[], &[]) };
+    let other_list = |list: &str| {
+        let mut p = patch(8, &[("a", 1)], &[]);
+        p.lists[0].list = list.into();
+        p
+    };
+    let mut list_twice = patch(8, &[("a", 1)], &[]);
+    list_twice.lists.push(list_twice.lists[0].clone());
+    for (name, patch, code) in [
+        ("names nothing", patch(8, &[], &[]), "missing"),
+        ("names nothing in two lists", two_lists, "missing"),
+        ("removes what is not there", patch(8, &[("a", 5)], &["z"]), "dangling"),
+        ("puts one twice", patch(8, &[("a", 5), ("a", 6)], &[]), "duplicate"),
+        ("removes one twice", patch(8, &[], &["a", "a"]), "duplicate"),
+        ("puts and removes one", patch(8, &[("a", 5)], &["a"]), "duplicate"),
+        ("names a list twice", list_twice, "duplicate"),
+        ("a number in the place of a list", other_list("number_of"), "wrong_value"),
+    ] {
+        let old = old.replace("\"kept\":", "\"number_of\":5,\"kept\":");
+        let troubles = patch.apply(&old).expect_err(name);
+        assert!(troubles.iter().all(|t| t.code() == code), "{name}: {troubles:?}");
+    }
+}
+
+/// Reads a document of rows; one whose `what` is 666666 is invalid.
+fn read(text: &str) -> Result<Plan, Vec<Trouble>> {
+    let missing = || vec![Trouble::Missing { at: "/number".into(), want: "a number".into() }];
+    let number = sonic_rs::get(text, &["number"]).map_err(|_| missing())?;
+    let revision = number.as_raw_str().parse().map_err(|_| missing())?;
+    if text.contains("\"what\":666666}") {
+        return Err(vec![Trouble::Missing { at: "/rows".into(), want: "luck".into() }]);
+    }
+    Ok(Plan { revision, ..Plan::default() })
+}
+
+/// Nodes that read documents of rows.
+fn net(seed: u64) -> Net {
+    let mut net = Net::new(seed);
+    for node in &mut net.nodes {
+        node.me.read = read;
+    }
+    net
+}
+
+fn send(net: &mut Net, node: usize, req: u64, base: u64, patch: &Patch) {
+    let [a, b, c, d, ..] = patch.hash();
+    let change_id = ChangeId(u64::from(u32::from_be_bytes([a, b, c, d])).max(1));
+    let change = Change::Patch(patch.clone());
+    net.step(node, Event::Put { req, change_id, fresh: false, base, change });
+}
+
+fn put(net: &mut Net, node: usize, base: u64, patch: &Patch) -> String {
+    net.n += 1;
+    let req = 10_000 + net.n;
+    send(net, node, req, base, patch);
+    net.wait(req, 5 * SEC)
+}
+
+/// A document of many rows, agreed by all.
+fn begun(seed: u64) -> (Net, Vec<(&'static str, u64)>) {
+    let mut net = net(seed);
+    let rows = vec![("a", 1), ("b", 2), ("c", 3)];
+    assert_eq!(net.put_soon(0, 0, &document(5, &rows)), "done");
+    net.run(SEC);
+    (net, rows)
+}
+
+#[test]
+fn a_patch_is_agreed_and_read_back_as_one_document() {
+    let (mut net, _) = begun(1);
+    assert_eq!(put(&mut net, FRONT, 5, &patch(7, &[("d", 4)], &["a"])), "done");
+    assert_eq!(put(&mut net, 2, 7, &patch(8, &[("b", 9)], &[])), "done");
+    net.run(SEC);
+    let want = document(8, &[("b", 9), ("c", 3), ("d", 4)]);
+    assert_eq!(net.held(), (3, want.clone()));
+    assert_eq!(net.nodes[FRONT].agree.last().map(|d| d.body.clone()), Some(want.clone()));
+    net.step(FRONT, Event::Put { req: 1, change_id: ChangeId(0), fresh: false, base: 0, change: Change::Newest });
+    assert_eq!(net.wait(1, SEC), format!("{:?}", Fate::Told { text: want }));
+    // A whole document follows a patch, and a patch that one.
+    assert_eq!(net.put_soon(1, 8, &document(9, &[("x", 1)])), "done");
+    assert_eq!(put(&mut net, 0, 9, &patch(10, &[("y", 2)], &[])), "done");
+    net.run(SEC);
+    assert_eq!(net.held().1, document(10, &[("x", 1), ("y", 2)]));
+}
+
+#[test]
+fn patches_end_under_the_terms_of_whole_documents() {
+    for (name, base, number, puts, remove, want) in [
+        ("on another base", 4, 9, vec![("d", 1)], vec![], "stale"),
+        ("on a base that never was", 6, 9, vec![("d", 1)], vec![], "stale"),
+        ("a number that is not above its base", 5, 5, vec![("d", 1)], vec![], "invalid"),
+        ("nothing named", 5, 9, vec![], vec![], "invalid"),
+        ("removes what is not there", 5, 9, vec![], vec!["z"], "invalid"),
+        ("makes an invalid document", 5, 9, vec![("d", 666_666)], vec![], "invalid"),
+        ("one that is invalid in part", 5, 9, vec![("d", 1), ("e", 666_666)], vec!["a"], "invalid"),
+    ] {
+        for node in 0..ALL {
+            let (mut net, rows) = begun(2);
+            let before = net.held();
+            assert_eq!(put(&mut net, node, base, &patch(number, &puts, &remove)), want, "{name} at {node}");
+            assert_eq!(net.held(), before, "{name} at {node}: nothing changed");
+            assert_eq!(before.1, document(5, &rows));
+        }
+    }
+}
+
+#[test]
+fn a_patch_sent_again_is_acknowledged_again_after_hundreds_of_others() {
+    let (mut net, _) = begun(3);
+    let first = patch(6, &[("d", 1)], &["a"]);
+    assert_eq!(put(&mut net, 0, 5, &first), "done");
+    for number in 7..250 {
+        let node = usize::try_from(number).expect("small") % ALL;
+        assert_eq!(put(&mut net, node, number - 1, &patch(number, &[("d", number)], &[])), "done");
+    }
+    for node in 0..ALL {
+        assert_eq!(put(&mut net, node, 5, &first), "done", "at {node}");
+        assert_eq!(put(&mut net, node, 5, &patch(6, &[("d", 2)], &["a"])), "stale", "another one at {node}");
+    }
+}
+
+#[test]
+fn of_two_patches_on_one_base_exactly_one_wins() {
+    for seed in 0..20 {
+        for (a, b) in [(0, 1), (2, 2), (FRONT, 0), (FRONT, FRONT)] {
+            let (mut net, _) = begun(seed);
+            send(&mut net, a, 1, 5, &patch(7, &[("d", 1)], &[]));
+            send(&mut net, b, 2, 5, &patch(6, &[("e", 1)], &[]));
+            net.run(4 * SEC);
+            let ends = [net.end(1), net.end(2)];
+            let won: Vec<_> = ends.iter().filter(|e| *e == "done").collect();
+            assert!(won.len() == 1 && ends.contains(&"stale".to_owned()), "seed {seed}, at {a} and {b}: {ends:?}");
+            net.held();
+        }
+    }
+}
+
+#[test]
+fn whoever_missed_patches_learns_the_document_that_they_made() {
+    for behind in [0, 1, 2, FRONT] {
+        for missed in [1, 5, 200] {
+            let (mut net, _) = begun(4);
+            net.cut.push(behind);
+            let by = (0..CORES).find(|i| *i != behind).expect("another core");
+            for number in 6..6 + missed {
+                assert_eq!(put(&mut net, by, number - 1, &patch(number, &[("d", number)], &[])), "done");
+            }
+            net.cut.clear();
+            net.run(3 * SEC);
+            let body = |i: usize| net.nodes[i].agree.last().map(|d| d.body.clone());
+            assert_eq!(body(behind), body(by), "{behind} missed {missed}");
+        }
+    }
+}
+
+#[test]
+fn a_core_that_starts_anew_goes_on_from_patches_on_its_disk() {
+    let (mut net, _) = begun(5);
+    for number in 6..20 {
+        assert_eq!(put(&mut net, 0, number - 1, &patch(number, &[("d", number)], &[])), "done");
+    }
+    for i in 0..CORES {
+        net.start(i);
+        net.nodes[i].me.read = read;
+    }
+    net.run(3 * SEC);
+    assert_eq!(put(&mut net, 1, 19, &patch(20, &[("e", 1)], &["d"])), "done");
+    net.run(SEC);
+    assert_eq!(net.held().1, document(20, &[("a", 1), ("b", 2), ("c", 3), ("e", 1)]));
+}
+
+#[test]
+fn whatever_is_lost_patches_stand_once_and_in_order() {
+    for seed in 0..12 {
+        let (mut net, _) = begun(seed);
+        net.lost = 5;
+        let mut number = 5;
+        for step in 0..60 {
+            let node = usize::try_from(net.rng.below(4)).expect("small");
+            if step % 9 == 4 {
+                net.cut = vec![usize::try_from(net.rng.below(3)).expect("small")];
+            } else if step % 9 == 7 {
+                net.cut.clear();
+            }
+            let next = patch(number + 1, &[("d", number)], &[]);
+            // No clear answer: the same again, anywhere.
+            let mut end = put(&mut net, node, number, &next);
+            for again in 0..8 {
+                if end == "done" {
+                    break;
+                }
+                assert!(end != "stale" && end != "invalid", "seed {seed}: {end} for the only change");
+                end = put(&mut net, again % ALL, number, &next);
+            }
+            assert_eq!(end, "done", "seed {seed}, step {step}");
+            number += 1;
+        }
+        net.lost = 0;
+        net.cut.clear();
+        net.run(4 * SEC);
+        let want = document(number, &[("a", 1), ("b", 2), ("c", 3), ("d", number - 1)]);
+        assert_eq!(net.held().1, want, "seed {seed}");
+    }
+}
+
+/// What goes over the wires for one route among 1,600, against the whole.
+#[test]
+fn a_change_of_one_item_among_many_costs_a_tenth_at_most() {
+    let names: Vec<String> = (0..1_600).map(|i| format!("row-{i:04}-with-a-name-as-long-as-those-of-routes")).collect();
+    let rows: Vec<_> = names.iter().map(|n| (n.as_str(), 1)).collect();
+    let bytes = |change: &dyn Fn(&mut Net) -> String| {
+        let mut net = net(6);
+        assert_eq!(net.put_soon(0, 0, &document(5, &rows)), "done");
+        net.run(2 * SEC);
+        net.bytes = 0;
+        assert_eq!(change(&mut net), "done");
+        net.run(SEC);
+        assert_eq!(net.nodes[FRONT].version(), Some(2), "it reached the front");
+        net.bytes
+    };
+    let mut changed = rows.clone();
+    changed[800].1 = 2;
+    let whole = bytes(&|net| net.put_soon(0, 5, &document(6, &changed)));
+    let one = bytes(&|net| put(net, 0, 5, &patch(6, &[(rows[800].0, 2)], &[])));
+    println!("one row of 1,600: {one} bytes as a patch, {whole} whole");
+    assert!(one * 10 < whole, "{one} of {whole}");
+}
+
+#[test]
+fn a_version_without_its_body_needs_the_one_before() {
+    let base = Decree { version: 4, body: document(5, &[("a", 1)]), ..decree() };
+    let whole = Decree {
+        version: 5,
+        body: document(6, &[("a", 1), ("b", 2)]),
+        patch: Some(patch(6, &[("b", 2)], &[])),
+        ..decree()
+    };
+    let stripped = whole.stripped();
+    assert!(stripped.is_stripped() && !whole.is_stripped());
+    assert_eq!(stripped.clone().restored(&base), Some(whole.clone()));
+    assert_eq!(whole.clone().restored(&decree()), Some(whole), "a whole one needs nothing");
+    for before in [decree(), Decree { version: 3, ..base.clone() }, Decree { version: 5, ..base.clone() }] {
+        assert_eq!(stripped.clone().restored(&before), None, "on {}", before.version);
+    }
+    let other = Decree { body: "[]".into(), ..base };
+    assert_eq!(stripped.restored(&other), None, "on what is no document");
+}
+
+fn decree() -> Decree {
+    Decree {
+        version: 0,
+        change_id: ChangeId(1),
+        fleet: 7,
+        since: 0,
+        old: Vec::new(),
+        cores: Vec::new(),
+        body: "{}".into(),
+        revision: 0,
+        patch: None,
+    }
+}
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -30,7 +30,17 @@
 pub fn decree(version: u64, since: u64, old: &[u64], cores: &[u64]) -> Decree {
     let all = |v: &[u64]| v.iter().map(|n| core(*n)).collect::<Vec<_>>();
     let (old, cores) = (all(old), all(cores));
-    Decree { version, change_id: ChangeId(version), fleet: FLEET, since, old, cores, revision: 0, body: "{}".into() }
+    Decree {
+        version,
+        change_id: ChangeId(version),
+        fleet: FLEET,
+        since,
+        old,
+        cores,
+        revision: 0,
+        body: "{}".into(),
+        patch: None,
+    }
 }
 
 /// What is on a disk that holds these versions, and the set that was taken over there.
--- a/crates/core/tests/news.rs
+++ b/crates/core/tests/news.rs
@@ -116,7 +116,17 @@
 fn kept() -> Kept {
     let cores = (0..CORES).map(|i| Core { node_id: NodeId(i as u64 + 1), addr: addr(i) }).collect();
     let body = "{\"pools\":{\"p\":{},\"q\":{}},\"matches\":{},\"tenants\":{}}".to_owned();
-    let d = Decree { version: 0, change_id: ChangeId(1), fleet: 7, since: 0, old: vec![], cores, body, revision: 0 };
+    let d = Decree {
+        version: 0,
+        change_id: ChangeId(1),
+        fleet: 7,
+        since: 0,
+        old: vec![],
+        cores,
+        body,
+        revision: 0,
+        patch: None,
+    };
     let mut k = Kept::default();
     k.decrees.insert(0, d);
     k
--- a/crates/core/tests/nodes/mod.rs
+++ b/crates/core/tests/nodes/mod.rs
@@ -52,7 +52,17 @@
 /// The disk of a core of a fleet that has only this version 0.
 pub fn founded(cores: usize, body: String, revision: u64) -> Kept {
     let cores = (0..cores).map(core).collect();
-    let d = Decree { version: 0, change_id: ChangeId(1), fleet: FLEET, since: 0, old: vec![], cores, body, revision };
+    let d = Decree {
+        version: 0,
+        change_id: ChangeId(1),
+        fleet: FLEET,
+        since: 0,
+        old: vec![],
+        cores,
+        body,
+        revision,
+        patch: None,
+    };
     let mut k = Kept { ready: Some(0), ..Kept::default() };
     k.decrees.insert(0, d);
     k
--- a/crates/core/tests/rates.rs
+++ b/crates/core/tests/rates.rs
@@ -140,7 +140,7 @@
 }
 
 fn ask(has: u32, want: u64, need: u32) -> ShareAsk {
-    ShareAsk { key: 7, has, returned: 0, want, need }
+    ShareAsk { key: 7, has, returned: 0, want, need, first: need.min(1), each: 1 }
 }
 
 /// The pool of the tenant that `ask` names.
@@ -460,7 +460,7 @@
                     }
                 }
             }
-            while !f.wait.is_empty() && matches!(f.b.draw(t), Take::Took { .. }) {
+            while !f.wait.is_empty() && matches!(f.b.draw(1, t), Take::Took { .. }) {
                 f.wait.pop_front();
                 self.ran.push(now);
             }
--- a/crates/core/tests/recovery.rs
+++ b/crates/core/tests/recovery.rs
@@ -435,7 +435,7 @@
         for (front, tenant, came) in std::mem::take(&mut self.waiting) {
             let now = n.now;
             let Some(node) = n.nodes[front].as_ref() else { continue };
-            match node.slices.rates.draw(&tenant, now) {
+            match node.slices.rates.draw(&tenant, 1, now) {
                 Some(Take::Took { .. }) => self.ran.push((tenant, now)),
                 _ if now >= came + PATIENCE => self.refused.push((came, cause(n, &tenant))),
                 _ => {
--- a/crates/model/src/machine.rs
+++ b/crates/model/src/machine.rs
@@ -78,6 +78,7 @@
         cores,
         body: body.into(),
         revision: 0,
+        patch: None,
     };
     let ready = (index < voters).then_some(0);
     let mut kept = Kept { ready, node_id: node_id(index, 0), ..Kept::default() };
--- a/crates/model/src/quota.rs
+++ b/crates/model/src/quota.rs
@@ -224,7 +224,7 @@
         let Some(front) = machine.checked_sub(cores) else { return };
         while self.callers[front].waiting > 0 {
             let slices = &self.machines[machine].node_mut().slices;
-            let take = slices.rates.draw(TENANT, self.now).unwrap_or_else(|| slices.take(TENANT, self.now));
+            let take = slices.rates.draw(TENANT, 1, self.now).unwrap_or_else(|| slices.take(TENANT, self.now));
             match take {
                 Take::Took { window, .. } => {
                     self.callers[front].waiting -= 1;
@@ -242,7 +242,8 @@
         let now = self.now;
         let waits = self.callers[front].waiting > 0;
         let slices = &self.machines[machine].node_mut().slices;
-        let look = if waits { slices.rates.look(TENANT, now).unwrap_or(Take::Empty) } else { slices.take(TENANT, now) };
+        let look =
+            if waits { slices.rates.look(TENANT, 1, now).unwrap_or(Take::Empty) } else { slices.take(TENANT, now) };
         match look {
             Take::Took { window, low, .. } => {
                 self.callers[front].spent.push(Spent { at: now, window });
--- a/crates/model/tests/judge.rs
+++ b/crates/model/tests/judge.rs
@@ -12,7 +12,17 @@
 /// A version of a change, and the number of the document that is in force with it.
 fn decree(version: Version, change_id: ChangeId, revision: u64) -> Decree {
     let cores = (0..3).map(core).collect();
-    Decree { version, change_id, fleet: 7, since: 0, old: Vec::new(), cores, body: String::new(), revision }
+    Decree {
+        version,
+        change_id,
+        fleet: 7,
+        since: 0,
+        old: Vec::new(),
+        cores,
+        body: String::new(),
+        revision,
+        patch: None,
+    }
 }
 
 /// A judge that has seen these changes as versions 0, 1 and so on, each with its number.
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use sumacvale_core::base::{ChangeId, MS, Micros, hash64};
+use sumacvale_core::config::Patch;
 use sumacvale_core::peer::{Change, Decree, Fate, Row, UNNUMBERED};
 use tokio::sync::oneshot;
 
@@ -30,6 +31,13 @@
     ask(h, (change_id, false), base, Change::Doc(body)).await
 }
 
+/// Changes to single items of the document with number `base`. The same patch is the same change.
+pub async fn patch(h: &Shared, base: u64, patch: Patch) -> Fate {
+    let [a, b, c, d, e, f, g, i, ..] = patch.hash();
+    let change_id = ChangeId(u64::from_be_bytes([a, b, c, d, e, f, g, i]).max(1));
+    ask(h, (change_id, false), base, Change::Patch(patch)).await
+}
+
 /// The newest document: nothing that was acknowledged before this call is missing in it.
 pub async fn newest(h: &Shared) -> Option<String> {
     match ask(h, (ChangeId(0), false), 0, Change::Newest).await {
--- a/crates/node/tests/clock.rs
+++ b/crates/node/tests/clock.rs
@@ -81,6 +81,7 @@
         cores,
         body: "{}".into(),
         revision: 0,
+        patch: None,
     };
     let mut kept = Kept { node_id: NodeId(1), ready: Some(0), ..Kept::default() };
     kept.decrees.insert(0, decree);
--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -37,6 +37,7 @@
         cores: vec![c(1), c(2)],
         body: format!("{{\"n\":{version}}}"),
         revision: version * 3,
+        patch: None,
     }
 }
 
--- a/crates/testbed/src/hollow/world.rs
+++ b/crates/testbed/src/hollow/world.rs
@@ -98,6 +98,7 @@
             cores,
             body: tree(&s, 0),
             revision: 0,
+            patch: None,
         };
         let mut w = World {
             s,
--- a/crates/testbed/tests/sim.rs
+++ b/crates/testbed/tests/sim.rs
@@ -178,6 +178,7 @@
         cores,
         body: "{}".into(),
         revision: 0,
+        patch: None,
     }
 }
 
