Shares of a rate follow calls a second, not units: one large call is no lasting demand

Change: an ask tells the calls looked for, and these decide whether demand is steady. The test failed first (a share of 66,666 millionths for one call).

--- a/crates/core/src/peer/msg.rs
+++ b/crates/core/src/peer/msg.rs
@@ -229,6 +229,8 @@
     pub first: u32,
     /// The units of a usual call.
     pub each: u32,
+    /// Thousandths of calls looked for in a second.
+    pub calls: u64,
 }
 
 /// The answer to the row in the same place of an ask.
--- a/crates/core/src/quota/bucket.rs
+++ b/crates/core/src/quota/bucket.rs
@@ -35,9 +35,21 @@
 /// For so long after a node's first answer its holder's pool may be filling up from empty, as it
 /// does after a loss of all power: who finds nothing there waits rather than being refused.
 const FILLS: Micros = SEC;
+/// Fewer thousandths of units a second are none.
+const NOTHING: u64 = 50;
 /// How much of what was looked for before is kept each half second.
 const FADE: (u64, u64) = (3, 4);
 
+/// What is looked for in a second, after so much was seen; `over` where that was seen for long enough.
+/// What doubles counts at once; what wavers is smoothed.
+fn follow(was: u64, seen: u64, over: bool) -> u64 {
+    match seen > 2 * was {
+        true => seen,
+        false if over => (was * FADE.0 + seen) / FADE.1,
+        false => was,
+    }
+}
+
 /// What a share may hold at most.
 pub fn cap(r: Rate, share: u32) -> u128 {
     u128::from(r.burst) * u128::from(share) * 1_000_000
@@ -68,6 +80,8 @@
     /// What a smaller share could not hold, for the holder.
     returned: u128,
     looked: u64,
+    /// The calls that looked for them.
+    came: u64,
     /// The units of a usual call.
     each: u32,
     /// Units that calls found missing, and those of the first call that waits for some.
@@ -75,6 +89,7 @@
     first: u32,
     since: Micros,
     want: u64,
+    calls: u64,
     /// The newest ask; answers to others say nothing.
     n: u64,
     asked: Micros,
@@ -189,6 +204,7 @@
 
     fn look_for(&mut self, units: u32) {
         self.looked += u64::from(units);
+        self.came += 1;
         let usual = (u64::from(self.each.max(1)) * (USUAL - 1) + u64::from(units) + USUAL / 2) / USUAL;
         self.each = if self.each == 0 { units } else { u32::try_from(usual).unwrap_or(u32::MAX) };
     }
@@ -326,16 +342,13 @@
     pub fn ask(&mut self, key: u64, n: u64, waits: u64, now: Micros) -> ShareAsk {
         self.turn(now);
         let gap = now.saturating_sub(self.since);
-        let seen = self.looked.saturating_mul(1_000 * SEC) / gap.max(EVERY);
-        if gap >= EVERY {
-            // What doubles counts at once; what wavers is smoothed.
-            self.want = if seen > 2 * self.want { seen } else { (self.want * FADE.0 + seen) / FADE.1 };
-            if self.want < 50 {
-                self.want = 0;
-            }
-            (self.looked, self.since) = (0, now);
-        } else {
-            self.want = if seen > 2 * self.want { seen } else { self.want };
+        let a_second = |n: u64| n.saturating_mul(1_000 * SEC) / gap.max(EVERY);
+        let over = gap >= EVERY;
+        self.want = follow(self.want, a_second(self.looked), over);
+        self.calls = follow(self.calls, a_second(self.came), over);
+        if over {
+            self.want = if self.want < NOTHING { 0 } else { self.want };
+            (self.looked, self.came, self.since) = (0, 0, now);
         }
         self.mute = if self.open { self.mute + 1 } else { 0 };
         let returned = u64::try_from(self.returned / MILLI).unwrap_or(0);
@@ -345,7 +358,7 @@
         let first = self.first.clamp(1, need.max(1));
         (self.short, self.need) = (self.short.min(need), need);
         (self.n, self.asked, self.open, self.returned, self.urgent) = (n, now, true, 0, false);
-        ShareAsk { key, has: self.share, returned, want: self.want, need, first, each }
+        ShareAsk { key, has: self.share, returned, want: self.want, need, first, each, calls: self.calls }
     }
 
     /// The holder's word on the ask `n` that was sent at `at`.
--- a/crates/core/src/quota/pool.rs
+++ b/crates/core/src/quota/pool.rs
@@ -13,7 +13,7 @@
 const FORGOTTEN: Micros = LEASE;
 /// Of what a node's clock counts this many fiftieths have passed at least.
 const SLOWEST_CLOCK: u64 = 49;
-/// Thousandths of usual calls a second from which on a node holds a share by what it looks for.
+/// Thousandths of calls a second from which on a node holds a share by what it looks for.
 const STEADY: u64 = 4_000;
 /// For so long after somebody got less than its due, others give back the least surplus.
 const LACK: Micros = 1_000 * MS;
@@ -107,7 +107,7 @@
         let all = self.want.max(1);
         // Half follows what is looked for, where that is steady enough to be measured; the
         // rest stays here, for who finds nothing.
-        let steady = if q.want >= STEADY * each { q.want } else { 0 };
+        let steady = if q.calls >= STEADY { q.want } else { 0 };
         let share = part(steady, whole / 2, all.max(r.milli / 2));
         let near = q.want > 0 && self.want <= r.milli || self.want * 2 <= r.milli;
         let floor = if near && one * nodes.max(1) * 4 <= whole { one } else { 0 };
--- a/crates/core/tests/rates.rs
+++ b/crates/core/tests/rates.rs
@@ -140,7 +140,7 @@
 }
 
 fn ask(has: u32, want: u64, need: u32) -> ShareAsk {
-    ShareAsk { key: 7, has, returned: 0, want, need, first: need.min(1), each: 1 }
+    ShareAsk { key: 7, has, returned: 0, want, need, first: need.min(1), each: 1, calls: want }
 }
 
 /// The pool of the tenant that `ask` names.
--- a/crates/core/tests/token_rates.rs
+++ b/crates/core/tests/token_rates.rs
@@ -118,7 +118,7 @@
 
 #[test]
 fn a_pool_lends_whole_calls() {
-    let ask = |need, first| ShareAsk { key: 7, has: 0, returned: 0, want: 0, need, first, each: 5_000 };
+    let ask = |need, first| ShareAsk { key: 7, has: 0, returned: 0, want: 0, need, first, each: 5_000, calls: 0 };
     let free = RATE.burst / 1_000;
     for (name, need, first, want) in [
         ("all", 30_000, 10_000, 30_000),
@@ -268,3 +268,27 @@
         }
     }
 }
+
+/// One large call is no demand that lasts: a node that looked for it holds no share by it, which
+/// would be missing for all others.
+#[test]
+fn a_single_large_call_moves_no_share() {
+    let mut bucket = Bucket::new(RATE, SEC);
+    for second in 1..=8 {
+        bucket.take_units(1_000, second * SEC);
+        bucket.ask(7, second, 0, second * SEC);
+    }
+    bucket.take_units(60_000, 9 * SEC);
+    let q = bucket.ask(7, 9, 0, 9 * SEC);
+    let mut pool = Pool::full(RATE, SEC);
+    let g = pool.ask((NodeId(1), 1), 1, &q, RATE, 90, 9 * SEC).expect("an answer");
+    assert!(g.share * 90 <= WHOLE, "{g:?} for {q:?}");
+    // Many calls in each second are.
+    let mut bucket = Bucket::new(RATE, SEC);
+    (0..40).for_each(|_| {
+        bucket.take_units(10_000, SEC);
+    });
+    let q = bucket.ask(7, 1, 0, SEC + 500 * MS);
+    let g = Pool::full(RATE, SEC).ask((NodeId(1), 1), 1, &q, RATE, 90, SEC + 500 * MS).expect("an answer");
+    assert!(g.share > WHOLE / 4, "{g:?} for {q:?}");
+}
