Large versions go packed; a rate refuses nobody it did not ask for; long and short prompts apart

A version is packed once by its proposer and handed on so; a core writes it so; who holds none before it gets the whole packed.

--- a/crates/core/src/agree/state.rs
+++ b/crates/core/src/agree/state.rs
@@ -75,6 +75,8 @@
     pub history: BTreeMap<Version, Decree>,
     /// All versions of a day and more, without their bodies.
     pub digests: Digests,
+    /// The newest version as it goes to who holds none before it, made when it is first asked for.
+    alone: Option<Decree>,
     /// The newest versions that came as patches, one after the other up to the newest of all.
     pub patches: Patches,
     pub pledge: Vec<Core>,
@@ -115,6 +117,15 @@
         self.history.values().next_back()
     }
 
+    /// The newest version for one who holds none before it.
+    pub fn last_alone(&mut self) -> Option<Decree> {
+        let version = self.version()?;
+        if self.alone.as_ref().is_none_or(|d| d.version != version) {
+            self.alone = self.last().map(|d| if d.patch.is_some() { d.packed_alone() } else { d.alone() });
+        }
+        self.alone.clone()
+    }
+
     /// Its number.
     pub fn version(&self) -> Option<Version> {
         self.last().map(|d| d.version)
@@ -136,6 +147,7 @@
             return false;
         }
         self.digests.extend([Digest::of(&d)]);
+        self.alone = None;
         self.patches.lead_to(&d);
         self.history.insert(d.version, d);
         trim_history(&mut self.history);
@@ -149,6 +161,7 @@
     /// This version whole, made from the one before it where it came as a patch; none where that
     /// one is not held.
     pub fn restore(&self, d: Decree) -> Option<Decree> {
+        let d = d.unpacked()?;
         if !d.is_stripped() {
             return Some(d);
         }
--- a/crates/core/src/call/steps/read.rs
+++ b/crates/core/src/call/steps/read.rs
@@ -34,6 +34,7 @@
 fn ask(c: &Call<Matched>, size: usize, cx: &Cx) -> Ask {
     let (h, w) = (&c.head, &c.state.who);
     Ask {
+        route: hash64(w.m.name.as_bytes()),
         parts: h.parts.iter().copied().collect(),
         out: h.tokens.1,
         aim: if w.m.aim > 0 { w.m.aim } else { SEC / 2 },
--- a/crates/core/src/call/waits.rs
+++ b/crates/core/src/call/waits.rs
@@ -197,7 +197,7 @@
                 match draw.unwrap_or_else(|| self.slices.take(t, now)) {
                     Take::Took { window, until, .. } => Some(Unit { window, until }),
                     other => {
-                        none.get_or_insert((w.units, other));
+                        none.get_or_insert(other);
                         None
                     }
                 }
@@ -206,8 +206,20 @@
                 out.push(ring(waiter.call, Event::Unit(unit)));
                 continue;
             }
-            let Some((units, found)) = none else { break };
-            self.slices.rates.set_first(t, units);
+            let Some(found) = none else { break };
+            if self.slices.rates.is_rate(t) {
+                // Behind one that is too large there may be smaller ones.
+                let fits = |w: &UnitWaiter| match self.slices.rates.draw(t, w.units, now)? {
+                    Take::Took { window, until, .. } => Some(Unit { window, until }),
+                    _ => None,
+                };
+                if let Some((waiter, unit)) = u.list.pop_any(fits) {
+                    out.push(ring(waiter.call, Event::Unit(unit)));
+                    continue;
+                }
+                let least = u.list.iter().map(|w| w.units).min().unwrap_or(1);
+                self.slices.rates.set_first(t, least);
+            }
             match found {
                 Take::Spent { left } => {
                     out.extend(u.list.take(|_, _| true).into_iter().map(|w| ring(w.call, Event::Spent(left))));
--- a/crates/core/src/node/found.rs
+++ b/crates/core/src/node/found.rs
@@ -47,7 +47,7 @@
     ) {
         if self.version().is_some() {
             if by != self.me.node_id && version.is_none() {
-                let decrees = self.agree.last().cloned().into_iter().collect();
+                let decrees = self.agree.last_alone().into_iter().collect();
                 self.send_addr(&core.addr.clone(), Msg::Learn { decrees }, now);
             }
             return;
@@ -83,6 +83,7 @@
                 revision: 0,
                 body: "{}".into(),
                 patch: None,
+                packed: Vec::new(),
             };
             self.learned(d, now);
         }
--- a/crates/core/src/node/learn.rs
+++ b/crates/core/src/node/learn.rs
@@ -87,7 +87,7 @@
     pub(super) fn restore_all(&self, decrees: Vec<Decree>) -> Vec<Decree> {
         let mut whole: Vec<Decree> = Vec::with_capacity(decrees.len());
         for d in decrees {
-            let before = whole.last().filter(|w| w.version + 1 == d.version && d.is_stripped());
+            let before = whole.last().filter(|w| w.version + 1 == d.version);
             let restored = match before {
                 Some(before) => d.restored(before),
                 None => self.agree.restore(d),
@@ -113,7 +113,7 @@
         let newest = self.version();
         // What comes right after another one that is held there is told as a patch.
         let held = |v: Version| v == version + 1 || self.agree.history.contains_key(&(v - 1));
-        let told = |d: &Decree| if held(d.version) { d.stripped() } else { d.clone() };
+        let told = |d: &Decree| if held(d.version) { d.stripped() } else { d.alone() };
         let room = |d: &Decree| {
             bytes += d.size();
             Some(d.version) == newest || bytes <= TAUGHT_MOST
@@ -122,8 +122,10 @@
             self.agree.history.range(version + 1..).rev().map(|x| told(x.1)).take_while(room).collect();
         decrees.reverse();
         // The first of those that had room has nothing before it.
-        if let Some(first) = decrees.first_mut().filter(|d| d.version > version + 1 && d.is_stripped()) {
-            first.body = self.agree.history.get(&first.version).map(|d| d.body.clone()).unwrap_or_default();
+        if let Some(first) = decrees.first_mut().filter(|d| d.version > version + 1)
+            && let Some(whole) = self.agree.history.get(&first.version)
+        {
+            *first = whole.alone();
         }
         if !decrees.is_empty() {
             self.send(to, Msg::Learn { decrees }, now);
--- a/crates/core/src/node/propose.rs
+++ b/crates/core/src/node/propose.rs
@@ -306,7 +306,7 @@
             .pending_changes
             .iter()
             .find(|w| self.version() == Some(instance - 1) && self.may_propose(w, over, now))?;
-        let mut n = Decree { version: instance, change_id: w.change_id, patch: None, ..d.clone() };
+        let mut n = Decree { version: instance, change_id: w.change_id, patch: None, packed: Vec::new(), ..d.clone() };
         match &w.change {
             Change::Tree(s) => n.body.clone_from(s),
             Change::Doc(s) => {
@@ -328,7 +328,7 @@
             }
             Change::Look | Change::History | Change::Newest => return None,
         }
-        Some(n)
+        Some(n.packed())
     }
 
     pub(super) fn on_refuse(&mut self, instance: Version, ballot: Ballot, now: Micros) {
--- a/crates/core/src/node/tell.rs
+++ b/crates/core/src/node/tell.rs
@@ -9,7 +9,7 @@
 
 const PUSH: Micros = 100 * MS;
 /// How many bytes of a new version are handed out in one step of the timer.
-const PUSH_BYTES: usize = 8 << 20;
+const PUSH_BYTES: usize = 512 << 10;
 const CONFIG: &str = "config";
 
 impl Node {
@@ -107,7 +107,7 @@
 
     /// `version` in an ask and a sub is one more than the version held, nought for none.
     fn tell(&mut self, to: NodeId, now: Micros) {
-        let Some(s) = self.news.subs.get(&to) else { return };
+        let Some(s) = self.news.subs.get(&to).cloned() else { return };
         let rows = self.news.after(s.idx, &s.svcs, now);
         let mine = self.version();
         let next = mine.map_or(0, |v| v + 1);
@@ -136,16 +136,15 @@
     }
 
     /// The newest version for one who holds this one: as patches where that is less.
-    fn told_versions(&self, held: Option<Version>) -> (Vec<Decree>, Option<Decree>) {
-        let newest = self.agree.last().cloned();
-        let size = newest.as_ref().map_or(0, |d| d.body.len());
+    fn told_versions(&mut self, held: Option<Version>) -> (Vec<Decree>, Option<Decree>) {
+        let whole = self.agree.last().map_or(0, |d| d.body.len());
         let patches = held.and_then(|v| self.agree.patches.after(v));
-        match patches.filter(|chain| chain.iter().map(Decree::size).sum::<usize>() < size) {
+        match patches.filter(|chain| chain.iter().map(Decree::size).sum::<usize>() < whole) {
             Some(mut chain) => {
                 let last = chain.pop();
                 (chain, last)
             }
-            None => (Vec::new(), newest),
+            None => (Vec::new(), self.agree.last_alone()),
         }
     }
 
@@ -154,7 +153,7 @@
         let Some(newest) = decree else { return };
         let held = self.version();
         let later = |d: &Decree| held.is_none_or(|v| d.version > v);
-        let before: Vec<_> = before.into_iter().filter(later).collect();
+        let before: Vec<_> = before.into_iter().filter(later).filter_map(Decree::unpacked).collect();
         if !later(&newest) {
             return;
         }
--- a/crates/core/src/peer/mod.rs
+++ b/crates/core/src/peer/mod.rs
@@ -3,6 +3,7 @@
 mod digest;
 mod frame;
 mod msg;
+mod packed;
 
 pub use digest::Digest;
 pub use frame::{Frame, Garbled, LARGE, WIRE, pack, unpack};
--- a/crates/core/src/peer/msg.rs
+++ b/crates/core/src/peer/msg.rs
@@ -30,12 +30,17 @@
     /// hold the version before it stands for the body, which is left empty.
     #[musli(default)]
     pub patch: Option<Patch>,
+    /// The body or the patch in packed form, where that is large.
+    #[musli(default, bytes)]
+    pub packed: Vec<u8>,
 }
 
 impl Decree {
-    /// The same without its body, for one who holds the version before.
+    /// The same without its body, for one who holds the version before; large ones in their packed
+    /// form.
     pub fn stripped(&self) -> Decree {
-        let body = if self.patch.is_some() { String::new() } else { self.body.clone() };
+        let by_patch = self.patch.is_some();
+        let is_packed = !self.packed.is_empty();
         Decree {
             version: self.version,
             change_id: self.change_id,
@@ -43,31 +48,41 @@
             since: self.since,
             old: self.old.clone(),
             cores: self.cores.clone(),
-            body,
+            body: if by_patch || is_packed { String::new() } else { self.body.clone() },
             revision: self.revision,
-            patch: self.patch.clone(),
+            patch: if is_packed { None } else { self.patch.clone() },
+            packed: self.packed.clone(),
         }
     }
 
-    /// Whether its body is to be made from the version before it.
+    /// The same for one who may hold no version before it.
+    pub fn alone(&self) -> Decree {
+        match &self.patch {
+            None => self.stripped(),
+            Some(_) => Decree { packed: Vec::new(), ..self.clone() },
+        }
+    }
+
+    /// Whether its body is to be made yet.
     pub fn is_stripped(&self) -> bool {
-        self.body.is_empty() && self.patch.is_some()
+        self.body.is_empty() && (self.patch.is_some() || !self.packed.is_empty())
     }
 
     /// This version whole, given the one before it; none if that is another one.
-    pub fn restored(mut self, before: &Decree) -> Option<Decree> {
-        if self.is_stripped() {
-            if before.version + 1 != self.version || before.is_stripped() {
+    pub fn restored(self, before: &Decree) -> Option<Decree> {
+        let mut whole = self.unpacked()?;
+        if whole.is_stripped() {
+            if before.version + 1 != whole.version || before.is_stripped() {
                 return None;
             }
-            self.body = self.patch.as_ref()?.apply(&before.body).ok()?;
+            whole.body = whole.patch.as_ref()?.apply(&before.body).ok()?;
         }
-        Some(self)
+        Some(whole)
     }
 
     /// About how many bytes it has on its way.
     pub fn size(&self) -> usize {
-        self.body.len() + self.patch.as_ref().map_or(0, Patch::size)
+        self.body.len() + self.patch.as_ref().map_or(0, Patch::size) + self.packed.len()
     }
 }
 
@@ -225,7 +240,7 @@
     pub want: u64,
     /// The units of calls that find nothing here.
     pub need: u32,
-    /// The units of the first of these calls, of use only together.
+    /// The fewest units that any of these calls takes, of use only together.
     pub first: u32,
     /// The units of a usual call.
     pub each: u32,
--- /dev/null
+++ b/crates/core/src/peer/packed.rs
@@ -0,0 +1,72 @@
+//! Large versions in a packed form: what goes over the wires and to the disks.
+//!
+//! A version is packed once, by the core that proposes it; everyone else hands the packed bytes on.
+
+use super::Decree;
+use crate::config::Patch;
+use miniz_oxide::deflate::compress_to_vec;
+use miniz_oxide::inflate::decompress_to_vec_with_limit;
+use musli::{Decode, Encode};
+
+/// Less than this goes as it is.
+const SMALL: usize = 8 << 10;
+/// Packed bytes that hold more than this are no version.
+const MOST: usize = 16 << 20;
+/// Documents are repetitive text: more effort hardly makes them smaller.
+const LEVEL: u8 = 3;
+
+/// What is packed of a version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+struct Content {
+    body: Option<String>,
+    patch: Option<Patch>,
+}
+
+impl Content {
+    /// Its bytes packed; none where they could not be written.
+    fn pack(&self) -> Vec<u8> {
+        let bytes = musli::wire::to_vec(self).unwrap_or_default();
+        if bytes.is_empty() { bytes } else { compress_to_vec(&bytes, LEVEL) }
+    }
+}
+
+impl Decree {
+    /// The same with its packed form beside it, where that is worth it.
+    pub fn packed(mut self) -> Decree {
+        let content = match &self.patch {
+            Some(patch) if patch.size() >= SMALL => Content { patch: Some(patch.clone()), body: None },
+            None if self.body.len() >= SMALL => Content { patch: None, body: Some(self.body.clone()) },
+            _ => return self,
+        };
+        self.packed = content.pack();
+        self
+    }
+
+    /// Takes the packed form apart where the version came so; none where it is no version.
+    pub fn unpacked(mut self) -> Option<Decree> {
+        if !self.body.is_empty() || self.packed.is_empty() {
+            return Some(self);
+        }
+        let bytes = decompress_to_vec_with_limit(&self.packed, MOST).ok()?;
+        let Content { body, patch } = musli::wire::from_slice(&bytes).ok()?;
+        let both = body.is_some() && patch.is_some();
+        self.body = body.unwrap_or_default();
+        self.patch = patch;
+        if both {
+            // Who holds the version before it needs the patch alone.
+            self.packed = Vec::new();
+            return Some(self.packed());
+        }
+        Some(self)
+    }
+
+    /// For one who holds no version before it: its body in packed form, where that is worth it,
+    /// and the patch that made it.
+    pub fn packed_alone(&self) -> Decree {
+        if self.body.len() < SMALL || self.patch.is_none() {
+            return self.alone();
+        }
+        let packed = Content { body: Some(self.body.clone()), patch: self.patch.clone() }.pack();
+        Decree { packed, ..Decree { body: String::new(), patch: None, ..self.clone() } }
+    }
+}
--- a/crates/core/src/place/ask.rs
+++ b/crates/core/src/place/ask.rs
@@ -9,6 +9,8 @@
 /// What a call asks of the worker that will take it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Ask {
+    /// Names the route, whose prompts are of like length.
+    pub route: u64,
     /// The parts of its prompt in order: their ids and how many tokens each has.
     pub parts: SmallVec<[(u64, u32); 8]>,
     /// The most tokens it may put out.
@@ -34,7 +36,16 @@
 
 impl Default for Ask {
     fn default() -> Self {
-        Ask { parts: SmallVec::new(), out: 0, aim: 500 * MS, gap: 300 * MS, left: 2 * SEC, urgency: 5, bytes: 0 }
+        Ask {
+            route: 0,
+            parts: SmallVec::new(),
+            out: 0,
+            aim: 500 * MS,
+            gap: 300 * MS,
+            left: 2 * SEC,
+            urgency: 5,
+            bytes: 0,
+        }
     }
 }
 
--- a/crates/core/src/place/engines.rs
+++ b/crates/core/src/place/engines.rs
@@ -3,6 +3,7 @@
 use super::ask::{Ask, Chain, home, mix};
 use super::cost::{cost, first};
 use super::engine::{Engine, Run};
+use super::lengths::{PENALTY, Side};
 use super::pools::Learned;
 use super::{Loads, Place, Table};
 use crate::base::{Micros, Rng, SEC, Shards};
@@ -64,8 +65,9 @@
         let p = g.entry(s.pool.to_owned()).or_default();
         let asked: SmallVec<[f64; 8]> = c.iter().map(|l| f64::from(p.demand.of(l.key, s.now))).collect();
         let n = t.places.len() as f64;
+        let side = p.lengths.side(a.route);
         let mut best: Option<(f64, usize)> = None;
-        for (i, rank) in candidates(t, &c, s.zone, &mut rng) {
+        for (i, rank) in candidates(t, &c, s.zone, side, &mut rng) {
             let w = &t.places[i];
             if s.skip.contains(&w.worker_id) || avoid(w) {
                 continue;
@@ -96,7 +98,10 @@
             if first > a.left as f64 && !e.may_be_tried(s.now) {
                 continue;
             }
-            let x = cost(a, &m, p, e.factor, first, w.zone != s.zone, slots, s.set, rng.below(1000) as f64 / 1000.0);
+            let luck = rng.below(1000) as f64 / 1000.0;
+            let other_side = side.is_some_and(|side| !side.has(t.standing[i]));
+            let x = cost(a, &m, p, e.factor, first, w.zone != s.zone, slots, s.set, luck)
+                + if other_side { PENALTY * f64::from(s.set.spread) / 100.0 } else { 0.0 };
             if best.is_none_or(|b| x < b.0) {
                 best = Some((x, i));
             }
@@ -119,6 +124,7 @@
         for l in &c {
             p.demand.asked(l.key, now);
         }
+        p.lengths.seen(a.route, a.tokens() as f64, m.unread, now);
         let held = a.tokens() + u64::from(a.out);
         p.unread += 0.02 * (m.unread - p.unread);
         p.held += 0.02 * (held as f64 - p.held);
@@ -191,17 +197,19 @@
 
 /// The workers to weigh, each with its rank as a keeper: by rendezvous over all zones, so
 /// that all nodes know the same keepers. Bytes between zones cost less than reading again.
-fn candidates(t: &Table, c: &Chain, zone: &str, rng: &mut Rng) -> SmallVec<[(usize, u32); 32]> {
+fn candidates(t: &Table, c: &Chain, zone: &str, side: Option<Side>, rng: &mut Rng) -> SmallVec<[(usize, u32); 32]> {
     let n = t.places.len();
     let key = home(c);
-    let mut v: SmallVec<[(u64, usize); 128]> = (0..n).map(|i| (key.map_or(0, |k| mix(k ^ t.ids[i])), i)).collect();
+    let own_side = |i: usize| side.is_none_or(|s| s.has(t.standing[i]));
+    let mut v: SmallVec<[(bool, u64, usize); 128]> =
+        (0..n).map(|i| (own_side(i), key.map_or(0, |k| mix(k ^ t.ids[i])), i)).collect();
     if key.is_some() {
         v.sort_unstable_by(|a, b| b.cmp(a));
     }
     let mut near: u32 = 0;
     let mut out = SmallVec::new();
     let mut rest: SmallVec<[(usize, u32); 128]> = SmallVec::new();
-    for (r, (_, i)) in (0..).zip(v) {
+    for (r, (_, _, i)) in (0..).zip(v) {
         let own = t.places[i].zone == zone;
         if n <= ALL || key.is_some() && (r < FIRST || own && near < KEEPERS) {
             out.push((i, r));
@@ -213,8 +221,9 @@
     if rest.is_empty() {
         return out;
     }
+    let (rest, other): (Vec<_>, Vec<_>) = rest.into_iter().partition(|x| own_side(x.0));
     let (near, far): (Vec<_>, Vec<_>) = rest.into_iter().partition(|x| t.places[x.0].zone == zone);
-    for (mut v, k) in [(near, SOME), (far, SOME / 2)] {
+    for (mut v, k) in [(near, SOME), (far, SOME / 2), (other, SOME / 4)] {
         for _ in 0..k.min(v.len() as u64) {
             let i = usize::try_from(rng.below(v.len() as u64)).unwrap_or(0);
             out.push(v.swap_remove(i));
--- a/crates/core/src/place/pools.rs
+++ b/crates/core/src/place/pools.rs
@@ -2,12 +2,14 @@
 
 use super::demand::Demand;
 use super::fit::Fit;
+use super::lengths::Lengths;
 
 /// What this node learned of a pool. 16 KB of demand at most.
 #[derive(Clone, Debug)]
 pub struct Learned {
     pub fit: Fit,
     pub demand: Demand,
+    pub lengths: Lengths,
     /// What others usually have running and waiting at one worker.
     pub others: (f64, f64),
     /// The usual tokens that a call has to read and hold, and how long it stays.
@@ -21,6 +23,7 @@
         Learned {
             fit: Fit::default(),
             demand: Demand::default(),
+            lengths: Lengths::default(),
             others: (0.0, 0.0),
             unread: 500.0,
             held: 2_000.0,
--- a/crates/core/src/place/table.rs
+++ b/crates/core/src/place/table.rs
@@ -23,7 +23,7 @@
 }
 
 /// The workers of one pool and their ring; never changed, swapped whole.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Table {
     pub places: Vec<Place>,
     ring: Vec<(u64, u32)>,
@@ -31,6 +31,8 @@
     pub(super) ids: Vec<u64>,
     pub(super) zone: Vec<u16>,
     pub(super) zones: u16,
+    /// Where each worker stands among those of its zone by its hash, from 0 to 1.
+    pub(super) standing: Vec<f64>,
 }
 
 impl Table {
@@ -59,13 +61,15 @@
             }
         }
         ring.sort_unstable();
-        let ids = places.iter().map(|p| hash64(p.worker_id.as_bytes())).collect();
+        let ids: Vec<u64> = places.iter().map(|p| hash64(p.worker_id.as_bytes())).collect();
         let mut names: Vec<&str> = places.iter().map(|p| p.zone.as_str()).collect();
         names.sort_unstable();
         names.dedup();
-        let zone = places.iter().map(|p| number(names.binary_search(&p.zone.as_str()).unwrap_or(0))).collect();
+        let zone: Vec<u16> =
+            places.iter().map(|p| number(names.binary_search(&p.zone.as_str()).unwrap_or(0))).collect();
         let zones = number(names.len());
-        Table { places, ring, ids, zone, zones }
+        let standing = standing(&ids, &zone);
+        Table { places, ring, ids, zone, zones, standing }
     }
 
     /// Who serves this prefix: along the ring, the own zone first, past those
@@ -114,6 +118,19 @@
     }
 }
 
+/// The place of each among those of its zone, in the middle of its part of 0 to 1.
+fn standing(ids: &[u64], zone: &[u16]) -> Vec<f64> {
+    let mut order: Vec<usize> = (0..ids.len()).collect();
+    order.sort_unstable_by_key(|i| (zone[*i], ids[*i]));
+    let mut out = vec![0.0; ids.len()];
+    for of_zone in order.chunk_by(|a, b| zone[*a] == zone[*b]) {
+        for (at, i) in of_zone.iter().enumerate() {
+            out[*i] = (at as f64 + 0.5) / of_zone.len() as f64;
+        }
+    }
+    out
+}
+
 fn number(n: usize) -> u16 {
     u16::try_from(n).unwrap_or(u16::MAX)
 }
--- a/crates/core/src/quota/bucket.rs
+++ b/crates/core/src/quota/bucket.rs
@@ -84,7 +84,7 @@
     came: u64,
     /// The units of a usual call.
     each: u32,
-    /// Units that calls found missing, and those of the first call that waits for some.
+    /// Units that calls found missing, and the fewest that any of these calls takes.
     short: u32,
     first: u32,
     since: Micros,
@@ -101,9 +101,11 @@
     urgent: bool,
     /// Units lent for calls that wait, and when they end.
     loan: (u32, Micros),
-    /// How many calls the newest ask was for, and whether the last answer had none for any.
+    /// How many units the newest ask was for, and the fewest that would have been of use.
     need: u32,
-    vain: bool,
+    least: u32,
+    /// The last answer had not even so many units; nought where it had some.
+    vain: u32,
     /// Until then an answer that has nothing does not say that the rate is spent.
     fills: Micros,
     /// Since when this life of the node was given nothing of the tenant, and held the same share.
@@ -210,13 +212,11 @@
     }
 
     fn miss(&mut self, units: u32) {
-        if self.short == 0 {
-            self.first = units;
-        }
+        self.first = if self.short == 0 { units } else { self.first.min(units) };
         self.short = self.short.saturating_add(units);
     }
 
-    /// The units of the first call that waits.
+    /// The fewest units that are of use to those who wait.
     pub fn set_first(&mut self, units: u32) {
         self.first = units;
     }
@@ -265,7 +265,10 @@
         if self.heard.is_none_or(|h| now >= h + LEASE) {
             return Take::Empty;
         }
-        let more = self.open || (self.vain && now < self.fills) || self.early(now);
+        // The holder's word that it has none counts for those who are no smaller.
+        let vain = self.vain > 0 && units >= self.vain;
+        let unasked = !vain && self.short > 0;
+        let more = self.open || unasked || (vain && now < self.fills) || self.early(now);
         let (r, s) = (self.rate(), self.share);
         let pace = flow(r, s, 1);
         let price = u128::from(units) * TOKEN;
@@ -295,7 +298,7 @@
     fn early(&self, now: Micros) -> bool {
         let gap = match self.open {
             true => AGAIN << self.mute.min(2),
-            false if self.vain || self.short == 0 => EARLY,
+            false if self.short == 0 || (self.vain > 0 && self.first >= self.vain) => EARLY,
             false => SOON,
         };
         self.asked == 0 || now >= self.asked + gap
@@ -356,7 +359,7 @@
         let each = self.each.max(1);
         let need = self.short.max(u32::try_from(waits).unwrap_or(u32::MAX)).min(MOST.saturating_mul(each));
         let first = self.first.clamp(1, need.max(1));
-        (self.short, self.need) = (self.short.min(need), need);
+        (self.short, self.need, self.least) = (self.short.min(need), need, first);
         (self.n, self.asked, self.open, self.returned, self.urgent) = (n, now, true, 0, false);
         ShareAsk { key, has: self.share, returned, want: self.want, need, first, each, calls: self.calls }
     }
@@ -385,7 +388,8 @@
         }
         self.short -= self.short.min(self.need);
         self.loan = (g.lend, at + LOAN);
-        self.vain = self.need > 0 && g.lend == 0 && self.free < u128::from(self.first.max(1)) * TOKEN;
+        let none = self.need > 0 && g.lend == 0 && self.free < u128::from(self.least) * TOKEN;
+        self.vain = if none { self.least } else { 0 };
         self.urgent |= self.short > 0;
         self.free = self.free.min(full);
         self.share = g.share;
--- a/crates/core/src/wait/list.rs
+++ b/crates/core/src/wait/list.rs
@@ -184,6 +184,18 @@
         None
     }
 
+    /// The first of each flow, in no fair order, for which there is room.
+    pub fn pop_any<R>(&mut self, mut fits: impl FnMut(&T) -> Option<R>) -> Option<(T, R)> {
+        for flow in self.flows.values_mut() {
+            let found = flow.q.iter().enumerate().find_map(|(at, item)| Some((at, fits(&item.val)?)));
+            let Some((at, got)) = found else { continue };
+            let item = flow.q.remove(at)?;
+            self.len -= 1;
+            return Some((item.val, got));
+        }
+        None
+    }
+
     /// Takes out everyone for whom `f` holds, such as those whose key was withdrawn.
     pub fn take(&mut self, mut f: impl FnMut(&T, Micros) -> bool) -> Vec<T> {
         let mut out = Vec::new();
--- a/crates/core/tests/digests.rs
+++ b/crates/core/tests/digests.rs
@@ -20,6 +20,7 @@
         body: format!("document {version}"),
         revision: 3 * version,
         patch: None,
+        packed: Vec::new(),
     }
 }
 
--- a/crates/core/tests/documents/net.rs
+++ b/crates/core/tests/documents/net.rs
@@ -98,7 +98,7 @@
             match e {
                 Effect::Send { to, frame } => {
                     if let Msg::Tell { decree: Some(d), .. } = &frame.msg {
-                        *self.told.entry((i, now)).or_default() += d.body.len();
+                        *self.told.entry((i, now)).or_default() += d.size();
                     }
                     let Some(j) = (0..ALL).find(|j| addr(*j) == to) else { continue };
                     if i != j {
--- /dev/null
+++ b/crates/core/tests/documents/packed.rs
@@ -0,0 +1,96 @@
+//! Versions in packed form: what they hold, and who can take them apart.
+
+use super::net::{CORES, FRONT, Net};
+use super::nodes::doc;
+use sumacvale_core::base::{ChangeId, SEC};
+use sumacvale_core::config::{Item, ListPatch, Patch};
+use sumacvale_core::peer::Decree;
+
+fn decree(body: String, patch: Option<Patch>) -> Decree {
+    Decree {
+        version: 5,
+        change_id: ChangeId(1),
+        fleet: 7,
+        since: 0,
+        old: Vec::new(),
+        cores: Vec::new(),
+        body,
+        revision: 9,
+        patch,
+        packed: Vec::new(),
+    }
+}
+
+fn rows(count: u64) -> Vec<Item> {
+    let name = |i: u64| format!("row-{i}-of-those-that-a-large-fleet-has");
+    (0..count).map(|i| Item { name: name(i), json: format!("{{\"name\":\"{}\",\"what\":{i}}}", name(i)) }).collect()
+}
+
+fn patch(count: u64) -> Patch {
+    let lists = vec![ListPatch { list: "rows".into(), put: rows(count), remove: Vec::new() }];
+    Patch { number_at: "revision".into(), number: 9, lists }
+}
+
+fn document(count: u64) -> String {
+    patch(count).apply("{\"revision\":1}").expect("a document")
+}
+
+#[test]
+fn a_packed_version_is_the_same_version() {
+    let before = Decree { version: 4, ..decree("{\"revision\":1}".into(), None) };
+    for (name, count, by_patch) in [
+        ("a small document", 2, false),
+        ("a large document", 1_600, false),
+        ("a small patch", 2, true),
+        ("a large patch", 1_600, true),
+    ] {
+        let whole = decree(document(count), by_patch.then(|| patch(count))).packed();
+        for told in [whole.stripped(), whole.alone(), whole.packed_alone()] {
+            let made = told.clone().restored(&before).expect(name);
+            let same = (made.version, &made.body, made.revision) == (whole.version, &whole.body, whole.revision);
+            assert!(same && made.patch == whole.patch, "{name}");
+            // What it is told by next is the same again.
+            assert_eq!(made.stripped().restored(&before).map(|d| d.body), Some(whole.body.clone()), "{name}");
+        }
+        let large = count > 100;
+        assert_eq!(whole.stripped().size() * 4 < whole.body.len(), large, "{name}: {}", whole.stripped().size());
+        assert_eq!(whole.packed_alone().size() * 4 < whole.body.len(), large, "{name}: one who holds none before it");
+    }
+}
+
+#[test]
+fn what_is_no_packed_version_is_refused() {
+    let good = decree(document(1_600), None).packed().stripped();
+    for (name, packed) in [
+        ("cut short", good.packed[..good.packed.len() / 2].to_vec()),
+        ("other bytes", vec![7; 100]),
+        ("a bomb", miniz_oxide::deflate::compress_to_vec(&vec![0; 64 << 20], 3)),
+    ] {
+        assert_eq!(Decree { packed, ..good.clone() }.unpacked(), None, "{name}");
+    }
+}
+
+/// What goes to the nodes of a zone for a large document is a fraction of it.
+#[test]
+fn a_large_document_goes_packed_to_cores_and_fronts() {
+    let large = |revision: u64| {
+        let pools: Vec<_> = (0..1_600).map(|i| format!("\"pool-{i}-of-the-fleet\":{{}}")).collect();
+        format!("{{\"revision\":{revision},\"pools\":{{{}}}}}", pools.join(","))
+    };
+    let mut net = Net::new(31);
+    assert_eq!(net.put_soon(0, 0, &doc(1, "a")), "done");
+    net.run(SEC);
+    net.bytes = 0;
+    assert_eq!(net.put_soon(1, 1, &large(2)), "done");
+    net.run(SEC);
+    let size = large(2).len();
+    println!("a document of {size} bytes: {} bytes to {CORES} cores and a front", net.bytes);
+    assert!(net.bytes < size, "{} of {size}", net.bytes);
+    assert_eq!(net.nodes[FRONT].agree.last().map(|d| d.body.clone()), Some(large(2)));
+    // A core that lost its disk, and a front that starts, get it so too.
+    net.wipe(2);
+    net.start(FRONT);
+    net.run(3 * SEC);
+    assert_eq!(net.held().1, large(2));
+    assert_eq!(net.nodes[FRONT].agree.last().map(|d| d.body.clone()), Some(large(2)));
+}
--- a/crates/core/tests/documents/patches.rs
+++ b/crates/core/tests/documents/patches.rs
@@ -301,5 +301,6 @@
         body: "{}".into(),
         revision: 0,
         patch: None,
+        packed: Vec::new(),
     }
 }
--- a/crates/core/tests/fleet/mod.rs
+++ b/crates/core/tests/fleet/mod.rs
@@ -40,6 +40,7 @@
         revision: 0,
         body: "{}".into(),
         patch: None,
+        packed: Vec::new(),
     }
 }
 
--- a/crates/core/tests/news.rs
+++ b/crates/core/tests/news.rs
@@ -126,6 +126,7 @@
         body,
         revision: 0,
         patch: None,
+        packed: Vec::new(),
     };
     let mut k = Kept::default();
     k.decrees.insert(0, d);
--- a/crates/core/tests/nodes/mod.rs
+++ b/crates/core/tests/nodes/mod.rs
@@ -62,6 +62,7 @@
         body,
         revision,
         patch: None,
+        packed: Vec::new(),
     };
     let mut k = Kept { ready: Some(0), ..Kept::default() };
     k.decrees.insert(0, d);
--- a/crates/core/tests/token_rates.rs
+++ b/crates/core/tests/token_rates.rs
@@ -292,3 +292,44 @@
     let g = Pool::full(RATE, SEC).ask((NodeId(1), 1), 1, &q, RATE, 90, SEC + 500 * MS).expect("an answer");
     assert!(g.share > WHOLE / 4, "{g:?} for {q:?}");
 }
+
+/// A call that came while an ask was open was not asked for yet: the answer says nothing of it.
+#[test]
+fn who_comes_while_an_ask_is_open_is_asked_for_before_it_is_refused() {
+    let more = |t: Take| matches!(t, Take::Dry { more: true, .. });
+    let mut b = bucket(given(0, 0, 0), SEC);
+    let now = 2 * SEC;
+    assert!(more(b.take_units(2_000, now)));
+    assert_eq!(b.ask(7, 2, 0, now).need, 2_000);
+    assert!(more(b.take_units(3_000, now + MS)), "an answer is awaited");
+    assert!(b.answer(2, given(0, 0, 2_000), now, now + MS));
+    assert!(is_taken(b.draw(2_000, now + MS)));
+    assert!(more(b.draw(3_000, now + MS)), "it is asked for next");
+    b.urge();
+    assert!(b.due(true, now + 5 * MS));
+    assert_eq!(b.ask(7, 3, 0, now + 5 * MS).need, 3_000);
+    // Now the holder has said that it has none.
+    assert!(b.answer(3, given(0, 0, 0), now + 5 * MS, now + 6 * MS));
+    assert!(!more(b.draw(3_000, now + 6 * MS)));
+}
+
+/// That there is too little for a large call says nothing of smaller ones.
+#[test]
+fn a_large_call_that_finds_too_little_gets_no_small_one_refused() {
+    let more = |t: Take| matches!(t, Take::Dry { more: true, .. });
+    let mut b = bucket(given(0, 0, 0), SEC);
+    let now = 10 * SEC;
+    b.ask(7, 2, 0, now - 2 * SEC);
+    assert!(b.answer(2, given(0, 0, 0), now - 2 * SEC, now - 2 * SEC));
+    assert!(more(b.take_units(50_000, now)));
+    b.ask(7, 3, 0, now);
+    assert!(b.answer(3, given(0, 0, 0), now, now + MS));
+    assert!(!more(b.draw(50_000, now + 2 * MS)), "for this one there is too little");
+    assert!(more(b.take_units(2_000, now + 2 * MS)), "a smaller one is asked for");
+    b.urge();
+    assert!(b.due(true, now + 6 * MS), "soon");
+    let q = b.ask(7, 4, 0, now + 6 * MS);
+    assert_eq!(q.first, 2_000, "and what is enough for it is enough");
+    assert!(b.answer(4, given(0, 0, 2_000), now + 6 * MS, now + 7 * MS));
+    assert!(!is_taken(b.draw(50_000, now + 7 * MS)) && is_taken(b.draw(2_000, now + 7 * MS)));
+}
--- a/crates/model/src/machine.rs
+++ b/crates/model/src/machine.rs
@@ -79,6 +79,7 @@
         body: body.into(),
         revision: 0,
         patch: None,
+        packed: Vec::new(),
     };
     let ready = (index < voters).then_some(0);
     let mut kept = Kept { ready, node_id: node_id(index, 0), ..Kept::default() };
--- a/crates/model/tests/judge.rs
+++ b/crates/model/tests/judge.rs
@@ -22,6 +22,7 @@
         body: String::new(),
         revision,
         patch: None,
+        packed: Vec::new(),
     }
 }
 
--- a/crates/node/src/disk/database.rs
+++ b/crates/node/src/disk/database.rs
@@ -233,6 +233,8 @@
         let mut q = self.db.prepare("SELECT body FROM decree ORDER BY ver")?;
         for b in q.query_map([], |r| r.get::<_, Vec<u8>>(0))? {
             let d: Decree = self.unseal(&b?, "a version")?;
+            let torn = || Damaged::Broken(self.at.clone(), "a version can't be unpacked".into());
+            let d = d.unpacked().ok_or_else(torn)?;
             k.decrees.insert(d.version, d);
         }
         let mut q = self.db.prepare("SELECT body FROM digest ORDER BY ver")?;
@@ -252,7 +254,8 @@
         }
         if let Some(b) = blob("accept")? {
             let v: Said = self.unseal(&b, "the acceptance")?;
-            k.accepted = Some((v.ballot, v.decree));
+            let torn = || Damaged::Broken(self.at.clone(), "the acceptance can't be unpacked".into());
+            k.accepted = Some((v.ballot, v.decree.unpacked().ok_or_else(torn)?));
         }
         if let Some(b) = blob("pledge")? {
             let v: Pledge = self.unseal(&b, "the pledge")?;
@@ -306,12 +309,12 @@
                     put("promise", seal(&Vote { instance: *instance, ballot: *ballot })?)?
                 }
                 Op::Accept { ballot, decree } => {
-                    put("accept", seal(&Said { ballot: *ballot, decree: decree.clone() })?)?
+                    put("accept", seal(&Said { ballot: *ballot, decree: decree.alone() })?)?
                 }
                 Op::Decide(d) => {
                     remember(&Digest::of(d))?;
                     t.prepare_cached("INSERT OR REPLACE INTO decree VALUES (?1, ?2)")?
-                        .execute(params![i(d.version), seal(d)?])?;
+                        .execute(params![i(d.version), seal(&d.alone())?])?;
                     sizes.insert(d.version, d.body.len());
                     let floor = history_floor(sizes.iter().rev().map(|(v, n)| (*v, *n)));
                     sizes.retain(|v, _| *v >= floor);
--- a/crates/node/tests/clock.rs
+++ b/crates/node/tests/clock.rs
@@ -82,6 +82,7 @@
         body: "{}".into(),
         revision: 0,
         patch: None,
+        packed: Vec::new(),
     };
     let mut kept = Kept { node_id: NodeId(1), ready: Some(0), ..Kept::default() };
     kept.decrees.insert(0, decree);
--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -38,6 +38,7 @@
         body: format!("{{\"n\":{version}}}"),
         revision: version * 3,
         patch: None,
+        packed: Vec::new(),
     }
 }
 
--- a/crates/testbed/src/engines/shape.rs
+++ b/crates/testbed/src/engines/shape.rs
@@ -154,7 +154,50 @@
         kinds: [draft(15.8, 89, 0.5), chat(43.6, 8, 370, 0.5, 600), summary(28.5, 242, 0.5)],
     };
 
+    /// Many fronts in front of many workers, with long and short prompts of the same urgency.
+    pub const ASPENLINE: Shape = Shape {
+        name: "aspenline",
+        zones: 3,
+        fronts: 90,
+        workers: 112,
+        cross_ms: 0.5,
+        gap_ms: 400,
+        engine: Engine {
+            slots: 64,
+            queue: 192,
+            step_ms: 3.03,
+            slot_ms: 0.121,
+            context_ms: 0.00244,
+            read: 92.1,
+            pairs_ms: 0.35,
+            first_ms: 60.0,
+            stride: 8,
+            chunk: 1024,
+            memory: 648_670,
+        },
+        kinds: [
+            Kind {
+                aim_ms: 1_000,
+                left_ms: 15_000,
+                urgency: 1,
+                worth: 2.0,
+                pieces: (47.8, 0.44, 140.0),
+                ..draft(214.0, 810, 0.3)
+            },
+            Kind { urgency: 1, ..chat(0.5, 16, 100, 0.3, 500) },
+            Kind {
+                aim_ms: 500,
+                left_ms: 3_000,
+                urgency: 1,
+                worth: 3.0,
+                heads: 16,
+                pieces: (2.82, 1.4, 11.3),
+                ..summary(571.0, 3_238, 0.3)
+            },
+        ],
+    };
+
     pub fn named(n: &str) -> Option<Shape> {
-        [Shape::MTATSMINDA, Shape::DERWENT].into_iter().find(|s| s.name == n)
+        [Shape::MTATSMINDA, Shape::DERWENT, Shape::ASPENLINE].into_iter().find(|s| s.name == n)
     }
 }
--- a/crates/testbed/src/engines/traffic.rs
+++ b/crates/testbed/src/engines/traffic.rs
@@ -81,6 +81,7 @@
         // Clients are not spread evenly over the fronts.
         front: (r.below(s.fronts as u64 * 5).max(r.below(s.fronts as u64 * 5)) / 5) as usize,
         ask: Ask {
+            route: k as u64,
             parts: parts.into_iter().collect(),
             out: out * 3 / 2,
             aim: d.aim_ms * MS,
--- a/crates/testbed/src/hollow/world.rs
+++ b/crates/testbed/src/hollow/world.rs
@@ -99,6 +99,7 @@
             body: tree(&s, 0),
             revision: 0,
             patch: None,
+            packed: Vec::new(),
         };
         let mut w = World {
             s,
--- a/crates/testbed/tests/sim.rs
+++ b/crates/testbed/tests/sim.rs
@@ -179,6 +179,7 @@
         body: "{}".into(),
         revision: 0,
         patch: None,
+        packed: Vec::new(),
     }
 }
 
