--- a/crates/core/src/place/engines.rs
+++ b/crates/core/src/place/engines.rs
@@ -65,7 +65,8 @@
         let p = g.entry(s.pool.to_owned()).or_default();
         let asked: SmallVec<[f64; 8]> = c.iter().map(|l| f64::from(p.demand.of(l.key, s.now))).collect();
         let n = t.places.len() as f64;
-        let side = p.lengths.side(a.route);
+        // Of a few workers each is weighed by what is known of it.
+        let side = if t.places.len() > ALL { p.lengths.side(a.route) } else { None };
         let mut best: Option<(f64, usize)> = None;
         for (i, rank) in candidates(t, &c, s.zone, side, &mut rng) {
             let w = &t.places[i];
--- a/crates/core/src/place/lengths.rs
+++ b/crates/core/src/place/lengths.rs
@@ -14,12 +14,21 @@
 const LONG: f64 = 1.25;
 const SHORT: f64 = 0.8;
 /// So many calls must have been seen, and the prompts of the two kinds of routes must differ so much.
-const ENOUGH: u64 = 8;
+const ENOUGH: u64 = 2;
 const APART: f64 = 2.0;
+/// Workers that are parted stay so until the prompts differ by less than this.
+const ALIKE: f64 = 1.3;
+/// Nothing is changed until so many more calls were seen.
+const SETTLE: u64 = 200;
 /// How much a new prompt counts for the usual length.
 const FOLLOW: f64 = 0.02;
 /// Half of the work that was seen counts no more after so many microseconds.
 const HALF: f64 = 20_000_000.0;
+/// The part of the workers for short prompts is one of so many steps, and a third to begin with. It moves
+/// only once the work is more than a step away: nodes that each see a little of the traffic must agree
+/// on it, or the same prompt has another home at each of them.
+const STEPS: f64 = 6.0;
+const FIRST: f64 = 2.0 / STEPS;
 /// Routes that are known at most.
 const MOST: usize = 64;
 
@@ -47,6 +56,8 @@
     calls: u64,
     /// The part of the workers that short prompts go to; none where they are not parted.
     short: Option<f64>,
+    /// How many calls had been seen when that changed last.
+    settled: u64,
 }
 
 /// Which part of the workers a call should go to: those below this place are for short prompts.
@@ -104,7 +115,25 @@
             })
         };
         let ((long, long_tokens), (short, short_tokens)) = (sum(true), sum(false));
-        let differ = long > 0.0 && short > 0.0 && long_tokens / long > APART * short_tokens / short;
-        self.short = (self.calls >= ENOUGH && differ).then(|| short / (short + 1.5 * long));
+        let times = if short > 0.0 { (long_tokens / long.max(1.0)) / (short_tokens / short) } else { 0.0 };
+        let Some(part) = self.short else {
+            let begin = self.calls >= ENOUGH && times > APART;
+            self.short = begin.then_some(FIRST);
+            self.settled = self.calls;
+            return;
+        };
+        if self.calls < self.settled + SETTLE {
+            return;
+        }
+        let wanted = short / (short + long).max(1.0);
+        let moved = (wanted * STEPS).round().clamp(1.0, STEPS - 1.0) / STEPS;
+        if times < ALIKE {
+            self.short = None;
+        } else if (wanted - part).abs() > 1.0 / STEPS {
+            self.short = Some(moved);
+        } else {
+            return;
+        }
+        self.settled = self.calls;
     }
 }
