Simulator: four more seeds for losses of power, so that each closing comes

control_power's seeds 1 to 8 draw other worlds since versions travel as patches, and none of them ended with kill_all; seeds 9 to 12 are played beside them. No check was changed.

--- a/crates/testbed/tests/sim.rs
+++ b/crates/testbed/tests/sim.rs
@@ -415,7 +415,7 @@
         "closing wipe_after_ack",
         "closing wipe_after_ack, others lose power",
     ];
-    all_come("control_power", 1..9, &expected);
+    all_come("control_power", 1..13, &expected);
 }
 
 #[test]
