Workers with few slots are not parted by the lengths of prompts

Change: only workers with 32 slots and more are parted; test only_many_workers_with_many_slots_are_parted.

--- a/crates/core/src/place/engines.rs
+++ b/crates/core/src/place/engines.rs
@@ -13,6 +13,8 @@
 
 /// Up to so many workers each is weighed; of more, the likely keepers and some others.
 const ALL: usize = 24;
+/// Workers with fewer slots are not parted by the lengths of prompts.
+const ROOMY: u32 = 32;
 const KEEPERS: u32 = 6;
 const FIRST: u32 = 3;
 const SOME: u64 = 8;
@@ -65,8 +67,10 @@
         let p = g.entry(s.pool.to_owned()).or_default();
         let asked: SmallVec<[f64; 8]> = c.iter().map(|l| f64::from(p.demand.of(l.key, s.now))).collect();
         let n = t.places.len() as f64;
-        // Of a few workers each is weighed by what is known of it.
-        let side = if t.places.len() > ALL { p.lengths.side(a.route) } else { None };
+        // Of a few workers each is weighed by what is known of it; where a worker has few slots, all are
+        // needed to find a free one.
+        let roomy = t.places.iter().all(|w| w.slots >= ROOMY);
+        let side = if t.places.len() > ALL && roomy { p.lengths.side(a.route) } else { None };
         let mut best: Option<(f64, usize)> = None;
         for (i, rank) in candidates(t, &c, s.zone, side, &mut rng) {
             let w = &t.places[i];
--- a/crates/core/tests/lengths.rs
+++ b/crates/core/tests/lengths.rs
@@ -1,7 +1,10 @@
 //! Workers parted by the lengths of prompts: when, how, and alike at all nodes.
 
+use std::collections::BTreeSet;
 use sumacvale_core::base::{MS, Micros, Rng, SEC};
-use sumacvale_core::place::{Lengths, Side};
+use sumacvale_core::config::Placement;
+use sumacvale_core::peer::Row;
+use sumacvale_core::place::{Ask, Engines, Lengths, Loads, Outcome, Scene, Side, Table};
 
 const LONG: u64 = 1;
 const SHORT: u64 = 2;
@@ -106,3 +109,52 @@
     see(&mut lengths, &mut Rng::new(6), 400, 50, 20 * SEC);
     assert!(lengths.side(9_000).is_none() && lengths.side(LONG).is_some());
 }
+
+/// How many of these workers short prompts went to, once long ones were seen as well.
+fn workers_of_short_prompts(workers: u64, slots: u32) -> usize {
+    let rows: Vec<Row> = (0..workers)
+        .map(|i| Row {
+            worker_id: format!("w{i:03}"),
+            pool: "p".into(),
+            addr: format!("10.0.0.1:{}", 1_000 + i),
+            zone: format!("z{}", i % 3),
+            incarnation: 1,
+            seq: 1,
+            slots,
+            ..Row::default()
+        })
+        .collect();
+    let table = Table::new(rows.iter());
+    let (engines, loads, set) = (Engines::new(1), Loads::default(), Placement::default());
+    let mut used = BTreeSet::new();
+    for n in 0..400 {
+        let now = SEC + n * 50 * MS;
+        let long = n % 3 == 0;
+        let tokens = if long { 12_000 } else { 2_400 };
+        let route = if long { LONG } else { SHORT };
+        let parts = [(7 + n, 200), (1_000 + n, tokens)].into_iter().collect();
+        let ask = Ask { route, parts, out: 20, ..Ask::default() };
+        let scene = Scene { pool: "p", zone: "z0", set: &set, skip: &[], now };
+        let Some(i) = engines.choose(&table, &ask, &scene, &loads) else { continue };
+        let ticket = engines.begin("p", &table.places[i], &ask, &set, now);
+        engines.first("p", &table.places[i].worker_id, ticket, now + 40 * MS);
+        engines.end("p", &table.places[i].worker_id, ticket, Outcome::Done, now + 45 * MS);
+        if !long && n > 10 {
+            used.insert(i);
+        }
+    }
+    used.len()
+}
+
+#[test]
+fn only_many_workers_with_many_slots_are_parted() {
+    for (name, workers, slots, parted) in
+        [("many with many slots", 60, 64, true), ("few slots", 60, 16, false), ("few workers", 24, 64, false)]
+    {
+        let used = workers_of_short_prompts(workers, slots);
+        // A third, and few beside it: where a worker of the third is busy another one may do.
+        let most = usize::try_from(workers).expect("small") * 2 / 5;
+        println!("{name}: {used} of {workers}");
+        assert_eq!(used <= most, parted, "{name}: {used} of {workers}");
+    }
+}
