Mend the defects found by reading: measure in force, digests, pointers, urgency, wait

Each had a test that failed first, but for two:

- A call that waited while its tenant's quota came to count tokens ran for one token.
Units are now counted by the measure in force wherever they are taken: after the wait, at a slot, at an expired unit.
(Windows always count calls; that one unit is taken there is right.)
- A call that waits for a unit of a window was counted as new demand each time it was offered one (21 for one call); acquire_for_waiter counts nothing.
- DigestLog::insert_all kept both change ids of two digests of one version, and gave both to the disk; the first counts.
- request_shares builds the message and the list that its reply is matched with in one pass.
No path reaches the difference today (buckets go only between steps), so no test fails first.
- The queue for a lease holder added two moments as its deadline.

--- a/crates/core/src/call/quota_queue.rs
+++ b/crates/core/src/call/quota_queue.rs
@@ -21,6 +21,9 @@
 /// Longer waits than this for a rate mean that this node's share is next to nothing, in microseconds.
 const LONGEST_RATE_WAIT: Micros = 60 * SEC;
 
+/// The quota queues reject no call by its expected wait: calls leave them at their own deadlines.
+const NO_DEADLINE: Micros = Micros::MAX;
+
 /// What a request for quota units came to.
 pub(super) enum UnitOutcome {
     /// The call holds its unit.
@@ -142,14 +145,11 @@
             NextGrant::Granted(wakeup(tenant, waiter.call_id, Event::UnitGranted(unit)))
         };
         let mut first_refusal = None;
-        let next = queue.waiters.pop(|waiter| {
-            let from_rate = self.slices.rates.acquire_for_waiter(tenant, waiter.units, now);
-            match from_rate.unwrap_or_else(|| self.slices.acquire_unit(tenant, now)) {
-                AcquireOutcome::Acquired { window, until, .. } => Some(QuotaUnit { window, expires_at: until }),
-                refusal => {
-                    first_refusal.get_or_insert(refusal);
-                    None
-                }
+        let next = queue.waiters.pop(|waiter| match self.slices.acquire_for_waiter(tenant, waiter.units, now) {
+            AcquireOutcome::Acquired { window, until, .. } => Some(QuotaUnit { window, expires_at: until }),
+            refusal => {
+                first_refusal.get_or_insert(refusal);
+                None
             }
         });
         if let Some(next) = next {
@@ -184,16 +184,16 @@
 }
 
 impl TenantQueue {
-    /// Queues the call while the lease holder can still answer.
+    /// Queues the call while the lease holder can still answer. Its wait is not estimated: how long others have
+    /// waited says nothing about when a lease holder, or its successor, answers.
     fn wait_for_holder(&mut self, call: &QueuedCall, now: Micros, effects: &mut Effects) -> UnitOutcome {
         self.last_request_at = now;
         let unanswered_since = *self.unanswered_since.get_or_insert(now);
-        let hopeless_at = unanswered_since + MAX_UNANSWERED;
-        if now > hopeless_at {
+        if now > unanswered_since + MAX_UNANSWERED {
             return UnitOutcome::HolderUnreachable { retry_after: UNREACHABLE_RETRY_AFTER };
         }
         let flow = (call.tenant.to_owned(), call.kind);
-        match self.waiters.push(flow, call.weight, call.into(), hopeless_at + call.deadline, now) {
+        match self.waiters.push(flow, call.weight, call.into(), NO_DEADLINE, now) {
             Ok(None) => UnitOutcome::Queued,
             Ok(Some(displaced)) => {
                 let event = Event::DroppedFromQueue(UNREACHABLE_RETRY_AFTER);
@@ -213,7 +213,7 @@
         }
         self.unanswered_since = None;
         let flow = (call.tenant.to_owned(), call.kind);
-        match self.waiters.push(flow, call.weight, call.into(), Micros::MAX, now) {
+        match self.waiters.push(flow, call.weight, call.into(), NO_DEADLINE, now) {
             Ok(_) => UnitOutcome::Queued,
             Err((_, rejection)) => {
                 UnitOutcome::Exhausted { retry_after: RateRefill::retry_after(rejection.retry_after) }
--- a/crates/core/src/call/steps/acquire_unit.rs
+++ b/crates/core/src/call/steps/acquire_unit.rs
@@ -6,7 +6,7 @@
 use crate::cache::Ttl;
 use crate::call::context::StepContext;
 use crate::call::holdings::QuotaUnit;
-use crate::call::io::{Effect, Effects};
+use crate::call::io::{Effect, Effects, RequestHead};
 use crate::call::local_response::LocalResponse;
 use crate::call::lookup::{LookupOutcome, lookup};
 use crate::call::progress::{Halt, StepResult};
@@ -21,9 +21,16 @@
 /// The unit of calls without a tenant, which need no quota.
 const ANONYMOUS_UNIT: QuotaUnit = QuotaUnit { window: 0, expires_at: Micros::MAX };
 
+/// How many units the call needs by the measure in force, which a newer configuration may have changed since the
+/// call was admitted.
+pub(super) fn units_in_force(request: &BodyRead, head: &RequestHead, context: &StepContext) -> u32 {
+    let tenant = context.view.config.tenants.get(&request.route.tenant.name);
+    tenant.map_or(request.units, |tenant| tenant.measure.units(head.tokens))
+}
+
 /// Takes a unit of the tenant's quota now, or waits for one that the lease holder can still grant.
 pub(super) fn request_unit(
-    call: Call<BodyRead>,
+    mut call: Call<BodyRead>,
     context: &mut StepContext,
     effects: &mut Effects,
 ) -> StepResult<CallState> {
@@ -31,6 +38,7 @@
     if tenant.is_empty() {
         return use_unit(call, ANONYMOUS_UNIT, context, effects);
     }
+    call.state.units = units_in_force(&call.state, &call.head, context);
     let call = require_known_quota(call, &tenant, context)?;
     let units = call.state.units;
     match context.shared.acquire_unit(&queued_call(&call, &tenant), context.now, effects) {
@@ -94,6 +102,21 @@
     }
 }
 
+/// The call was granted the units that it waited for. Where another measure came into force meanwhile they are
+/// returned, and it requests as many as it needs now.
+pub(super) fn on_unit_granted(
+    call: Call<BodyRead>,
+    unit: QuotaUnit,
+    context: &mut StepContext,
+    effects: &mut Effects,
+) -> StepResult<CallState> {
+    if units_in_force(&call.state, &call.head, context) == call.state.units {
+        return use_unit(call, unit, context, effects);
+    }
+    wake_calls(context.shared.refund_unit(&call.state.route.tenant.name, unit, context.now), effects);
+    request_unit(call, context, effects)
+}
+
 /// The call has a unit and goes on to acquire a slot.
 pub(super) fn use_unit(
     call: Call<BodyRead>,
--- a/crates/core/src/call/steps/attempt.rs
+++ b/crates/core/src/call/steps/attempt.rs
@@ -1,7 +1,7 @@
 //! Phases `Connecting` and `AwaitingHead`: one attempt at one worker.
 
 use super::acquire_slot::{end_without_slot, request_slot};
-use super::acquire_unit::{replace_unit, request_unit};
+use super::acquire_unit::{replace_unit, request_unit, units_in_force};
 use super::authorization::reauthorize;
 use super::failover::{FailedAttempt, count_attempt, fail_over, failure_response};
 use super::response_stream::{is_successful_event_stream, resume_stream, start_stream};
@@ -54,7 +54,7 @@
         disconnect(&call.state.slot, context, effects);
         return request_slot(call.map_state(|connecting| connecting.granted), context, effects);
     }
-    match renew_unit(&mut call.state.granted, context) {
+    match renew_unit(&mut call, context) {
         UnitRenewal::Valid => send_request(call, context, effects),
         UnitRenewal::Expired => {
             disconnect(&call.state.slot, context, effects);
@@ -78,7 +78,11 @@
     CannotCountRetry,
 }
 
-fn renew_unit(granted: &mut QuotaGranted, context: &StepContext) -> UnitRenewal {
+fn renew_unit(call: &mut Call<Connecting>, context: &StepContext) -> UnitRenewal {
+    let granted = &mut call.state.granted;
+    if context.now >= granted.unit.expires_at {
+        granted.request.units = units_in_force(&granted.request, &call.head, context);
+    }
     if !granted.request.attempts.unit_used && context.now >= granted.unit.expires_at {
         // The window of the unit is over, and the call needs a unit of the current window.
         context.shared.counters.units_expired.increment();
--- a/crates/core/src/call/steps/placement.rs
+++ b/crates/core/src/call/steps/placement.rs
@@ -1,7 +1,7 @@
 //! Phase `QuotaGranted`: the call waits in the slot queue of its pool.
 
 use super::acquire_slot::{end_without_slot, open_connection, reject_full, request_slot};
-use super::acquire_unit::{replace_unit, request_unit};
+use super::acquire_unit::{replace_unit, request_unit, units_in_force};
 use super::authorization::reauthorize;
 use crate::call::context::StepContext;
 use crate::call::holdings::ReservedSlot;
@@ -57,7 +57,7 @@
         release_slot(&unstarted_slot(&call, endpoint), context, effects);
         return end_without_slot(call, response, context, effects);
     }
-    if !reclaim_unit(&mut call.state, context) {
+    if !reclaim_unit(&mut call, context) {
         release_slot(&unstarted_slot(&call, endpoint), context, effects);
         return request_unit(call.map_state(|granted| granted.request), context, effects);
     }
@@ -70,10 +70,12 @@
 }
 
 /// Whether the call still has its unit after the wait, or got another one now.
-fn reclaim_unit(granted: &mut QuotaGranted, context: &StepContext) -> bool {
+fn reclaim_unit(call: &mut Call<QuotaGranted>, context: &StepContext) -> bool {
+    let granted = &mut call.state;
     if !std::mem::take(&mut granted.unit_is_parked) {
         return true;
     }
+    granted.request.units = units_in_force(&granted.request, &call.head, context);
     let tenant = &granted.request.route.tenant.name;
     context.shared.slices.unpark(tenant, granted.unit.window) || replace_unit(granted, context)
 }
--- a/crates/core/src/call/steps/quota.rs
+++ b/crates/core/src/call/steps/quota.rs
@@ -1,6 +1,6 @@
 //! Phase `BodyRead`: the call waits in the quota queue of its tenant.
 
-use super::acquire_unit::{quota_exhausted, quota_unsettled, reject, request_unit, use_unit};
+use super::acquire_unit::{on_unit_granted, quota_exhausted, quota_unsettled, reject, request_unit, units_in_force};
 use super::authorization::reauthorize;
 use crate::base::SEC;
 use crate::call::context::StepContext;
@@ -17,17 +17,18 @@
     effects: &mut Effects,
 ) -> StepResult<CallState> {
     match event {
-        Event::UnitGranted(unit) => use_unit(call, unit, context, effects),
+        Event::UnitGranted(unit) => on_unit_granted(call, unit, context, effects),
         Event::WindowSpent(retry_after) => ControlFlow::Break(quota_exhausted(&call, retry_after)),
         Event::DroppedFromQueue(retry_after) => ControlFlow::Break(quota_unsettled(&call, retry_after)),
         Event::Wake if call.lookup_since.is_some() => request_unit(call, context, effects),
-        Event::Wake => recheck_wait(call, context),
+        Event::Wake => recheck_wait(call, context, effects),
         _ => ControlFlow::Continue(CallState::BodyRead(call)),
     }
 }
 
-/// Ends the wait if the call is no longer authorized or its deadline passed.
-fn recheck_wait(call: Call<BodyRead>, context: &StepContext) -> StepResult<CallState> {
+/// Ends the wait if the call is no longer authorized or its deadline passed; begins it anew where another measure
+/// is in force.
+fn recheck_wait(call: Call<BodyRead>, context: &mut StepContext, effects: &mut Effects) -> StepResult<CallState> {
     let authorized = reauthorize(&call.state.route, context);
     let is_late = context.now >= call.unit_deadline();
     // A call that is no longer in the queue was just granted something, of which an event follows.
@@ -37,5 +38,9 @@
             Ok(()) => quota_unsettled(&call, SEC),
         });
     }
+    let needs_other_units = units_in_force(&call.state, &call.head, context) != call.state.units;
+    if needs_other_units && context.shared.leave_quota_queue(&call.state.route.tenant.name, call.id) {
+        return request_unit(call, context, effects);
+    }
     ControlFlow::Continue(CallState::BodyRead(call))
 }
--- a/crates/core/src/config/check/mod.rs
+++ b/crates/core/src/config/check/mod.rs
@@ -15,4 +15,4 @@
 
 pub use document::validate;
 pub use error::ConfigError;
-pub use syntax::check_syntax_with_limit;
+pub use syntax::{check_syntax_with_limit, escape_pointer};
--- a/crates/core/src/config/compiled/effective.rs
+++ b/crates/core/src/config/compiled/effective.rs
@@ -39,10 +39,7 @@
     object.add_plain("aim_ms", settings.latency_target / MS);
     object.add_plain("gap_ms", settings.max_stream_gap / MS);
     object.add_plain("tries", settings.max_attempts);
-    match settings.urgency {
-        Some(rank) => object.add_plain("urgency", rank),
-        None => object.add_json("urgency", "null"),
-    }
+    add_urgency(&mut object, settings.urgency);
     object.add_plain("open", settings.allows_anonymous);
     object.add_plain("parts", settings.has_prompt_parts);
     object.finish()
@@ -60,9 +57,17 @@
         Some(names) => object.add_json("matches", &sonic_rs::to_string(names).unwrap_or_default()),
     }
     object.add_optional_text("on_revoke", tenant.on_revoke.map(super::route::OnRevoke::name));
+    add_urgency(&mut object, tenant.urgency);
     object.finish()
 }
 
+fn add_urgency(object: &mut ObjectWriter, urgency: Option<u8>) {
+    match urgency {
+        Some(rank) => object.add_plain("urgency", rank),
+        None => object.add_json("urgency", "null"),
+    }
+}
+
 fn pool_weights(pools: &[(String, u32)]) -> String {
     let mut object = ObjectWriter::with_capacity(USUAL_BYTES);
     for (pool, weight) in pools {
--- a/crates/core/src/config/patch.rs
+++ b/crates/core/src/config/patch.rs
@@ -5,6 +5,7 @@
 //! has the document it was built on produces the same bytes.
 
 use super::ConfigError;
+use super::check::escape_pointer;
 use super::object_writer::ObjectWriter;
 use musli::{Decode, Encode};
 use sha2::{Digest as _, Sha256};
@@ -135,7 +136,7 @@
 impl ListPatch {
     /// The place of the list in the document, as a JSON pointer.
     fn pointer(&self) -> String {
-        format!("/{}", self.list)
+        format!("/{}", escape_pointer(&self.list))
     }
 
     /// Its approximate size, in bytes.
@@ -150,7 +151,8 @@
         let mut names = BTreeSet::new();
         for name in self.put.iter().map(|item| &item.name).chain(&self.remove) {
             if !names.insert(name) {
-                errors.push(ConfigError::Duplicate { pointer: format!("{}/{name}", self.pointer()) });
+                let pointer = format!("{}/{}", self.pointer(), escape_pointer(name));
+                errors.push(ConfigError::Duplicate { pointer });
             }
         }
     }
--- a/crates/core/src/consensus/digest_log.rs
+++ b/crates/core/src/consensus/digest_log.rs
@@ -52,11 +52,16 @@
         self.digests.get(index)
     }
 
-    /// Inserts the digests of versions that are neither kept already nor too old, and returns these.
+    /// Inserts the digests of versions that are neither kept already nor too old, and returns these. Of several
+    /// digests of one version the first counts.
     pub fn insert_all(&mut self, digests: impl IntoIterator<Item = EntryDigest>) -> Vec<EntryDigest> {
         let lowest = self.lowest_kept_version();
-        let is_new = |digest: &EntryDigest| digest.version >= lowest && self.get(digest.version).is_none();
-        let inserted: Vec<_> = digests.into_iter().filter(is_new).collect();
+        let mut versions = BTreeSet::new();
+        let mut is_new = |digest: &EntryDigest| {
+            digest.version >= lowest && self.get(digest.version).is_none() && versions.insert(digest.version)
+        };
+        let mut inserted = Vec::new();
+        inserted.extend(digests.into_iter().filter(|digest| is_new(digest)));
         let last = self.digests.last().map(|digest| digest.version);
         let is_sorted = inserted.is_sorted_by(|left, right| left.version < right.version);
         let is_appended =
@@ -64,7 +69,6 @@
         self.digests.extend(&inserted);
         if !is_appended {
             self.digests.sort_by_key(|digest| digest.version);
-            self.digests.dedup_by_key(|digest| digest.version);
         }
         self.by_change.extend(inserted.iter().map(|digest| (digest.change_id, digest.version)));
         self.trim();
--- a/crates/core/src/node/quota/shares.rs
+++ b/crates/core/src/node/quota/shares.rs
@@ -132,18 +132,25 @@
 
     fn request_shares(&mut self, to: NodeId, tenants: Vec<String>, now: Micros) {
         let request_id = self.next_request_id();
-        let roles: BTreeSet<_> = tenants.iter().map(|tenant| quota_role(tenant)).collect();
-        let (requests, idle_for) = tenants
-            .iter()
-            .filter_map(|tenant| {
-                let waiting = self.quota.share_client.waiting_units.remove(tenant).unwrap_or(0);
-                let idle_for = self.quota.slices.rates.idle_for(tenant, now);
-                Some((self.quota.slices.rates.make_request(tenant, request_id, waiting, now)?, idle_for))
-            })
-            .unzip();
+        let (mut requested, mut requests, mut idle_for) = (Vec::new(), Vec::new(), Vec::new());
+        for tenant in tenants {
+            let waiting = self.quota.share_client.waiting_units.remove(&tenant).unwrap_or(0);
+            let tenant_idle_for = self.quota.slices.rates.idle_for(&tenant, now);
+            // The bucket of a tenant that a newer configuration removed is gone.
+            let Some(request) = self.quota.slices.rates.make_request(&tenant, request_id, waiting, now) else {
+                continue;
+            };
+            requested.push(tenant);
+            requests.push(request);
+            idle_for.push(tenant_idle_for);
+        }
+        if requests.is_empty() {
+            return;
+        }
+        let roles: BTreeSet<_> = requested.iter().map(|tenant| quota_role(tenant)).collect();
         let claims = roles.iter().filter_map(|role| self.newest_claim(*role)).collect();
         self.counters.share_requests += 1;
-        let pending = PendingShareRequests { to, sent_at: now, has_timed_out: false, tenants };
+        let pending = PendingShareRequests { to, sent_at: now, has_timed_out: false, tenants: requested };
         self.quota.share_client.pending.insert(request_id, pending);
         self.send_quota(to, QuotaMessage::ShareRequests { request_id, requests, claims, idle_for }, now);
     }
--- a/crates/core/src/quota/rates.rs
+++ b/crates/core/src/quota/rates.rs
@@ -74,15 +74,23 @@
 
     /// Takes the units of a call that comes now; none where the tenant has neither a rate nor no limit.
     pub fn acquire_units(&self, tenant: &str, units: u32, now: Micros) -> Option<AcquireOutcome> {
-        match self.tenants.lock_shard(tenant).get_mut(tenant)? {
-            TenantRate::Unlimited => Some(AcquireOutcome::Acquired { window: 0, until: Micros::MAX, low: false }),
-            TenantRate::Limited(bucket) => Some(bucket.acquire_units(units, now)),
-        }
+        self.acquire_with(tenant, |bucket| bucket.acquire_units(units, now))
     }
 
-    /// See [`ShareBucket::acquire_for_waiter`].
+    /// As [`acquire_units`](Self::acquire_units), for a call that waited and was counted when it came.
     pub fn acquire_for_waiter(&self, tenant: &str, units: u32, now: Micros) -> Option<AcquireOutcome> {
-        self.with_bucket(tenant, |bucket| bucket.acquire_for_waiter(units, now))
+        self.acquire_with(tenant, |bucket| bucket.acquire_for_waiter(units, now))
+    }
+
+    fn acquire_with(
+        &self,
+        tenant: &str,
+        acquire: impl FnOnce(&mut ShareBucket) -> AcquireOutcome,
+    ) -> Option<AcquireOutcome> {
+        match self.tenants.lock_shard(tenant).get_mut(tenant)? {
+            TenantRate::Unlimited => Some(AcquireOutcome::Acquired { window: 0, until: Micros::MAX, low: false }),
+            TenantRate::Limited(bucket) => Some(acquire(bucket)),
+        }
     }
 
     /// See [`ShareBucket::peek`].
--- a/crates/core/tests/call/waiting.rs
+++ b/crates/core/tests/call/waiting.rs
@@ -1,6 +1,11 @@
 //! Waiting for a quota unit or a slot, and what is released.
 
 use super::fixture::*;
+use std::sync::Arc;
+use sumacvale_core::base::sha256_hex;
+use sumacvale_core::config::CompiledConfig;
+use sumacvale_core::protocol::ShareGrant;
+use sumacvale_core::quota::AcquireOutcome;
 
 #[test]
 fn a_call_that_waited_releases_what_it_held() {
@@ -206,3 +211,88 @@
     }
     assert_eq!(call.holdings().waiting, (0, 8));
 }
+
+/// The configuration of the fixture with another quota of the tenant.
+fn config_with_quota(version: u64, quota: &str) -> Arc<CompiledConfig> {
+    let document = format!(
+        "{{\"pools\":{{\"p\":{{}}}},\"matches\":{{\"chat\":{{\"path\":\"/chat\",\"pool\":\"p\",\"kind\":\"chat\"}}}},\
+         \"tenants\":{{\"t\":{{\"keys\":[\"sha256:{}\"],\"quota\":{quota}}}}}}}",
+        sha256_hex(b"key")
+    );
+    let compiled = CompiledConfig::compile(version, &document);
+    assert!(!compiled.tenants.is_empty(), "{document}");
+    Arc::new(compiled)
+}
+
+const CALLS: &str = r#"{"rate":100,"burst":1000}"#;
+const TOKENS: &str = r#"{"rate":100,"burst":1000,"measure":"tokens","untold":70}"#;
+
+/// The node's share of the rate in force brings so many units.
+fn grant_rate_units(call: &CallFixture, request_id: u64, units: u32) {
+    let rates = &call.shared.slices.rates;
+    rates.make_request("t", request_id, u64::from(units), call.now).expect("it has a rate");
+    let grant = ShareGrant { granted: true, share: 0, burst_milli: 0, loaned_units: units };
+    assert!(rates.apply_grant("t", request_id, grant, call.now, call.now));
+}
+
+/// A newer configuration counts tokens in place of calls, or the other way round, while a call waits for units: it
+/// learns so as it is granted too few, or before that as it is woken by the configuration.
+#[test]
+fn a_call_that_waits_takes_the_units_of_the_measure_in_force() {
+    for (name, before, after, first_units, more_units) in
+        [("from calls to tokens", CALLS, TOKENS, 69, 70), ("from tokens to calls", TOKENS, CALLS, 0, 1)]
+    {
+        let old_config = config_with_quota(1, before);
+        let mut call = CallFixture::of("/chat", 1, 4, 0, old_config.clone());
+        call.shared.slices.rates.apply_plan(&old_config, START);
+        run(name, &mut call, vec![(Deliver(Event::Wake), "read body"), (DeliverBody, "request units")]);
+        let new_config = config_with_quota(2, after);
+        call.shared.slices.rates.apply_plan(&new_config, START);
+        call.update_view(|view| (view.version, view.config) = (Some(2), new_config.clone()));
+        if first_units == 0 {
+            run(name, &mut call, vec![(Deliver(Event::Wake), "request units")]);
+        } else {
+            grant_rate_units(&call, 1, first_units);
+            let wakeups = call.shared.serve_quota_queue("t", call.now);
+            let effects: Vec<_> = wakeups.into_iter().map(|wakeup| call.step(wakeup.event)).collect();
+            assert!(!effects.iter().any(|effect| effect.contains("connect")), "{name}: too few units: {effects:?}");
+        }
+        grant_rate_units(&call, 2, more_units);
+        let wakeups = call.shared.serve_quota_queue("t", call.now);
+        let effects: Vec<_> = wakeups.into_iter().map(|wakeup| call.step(wakeup.event)).collect();
+        assert_eq!(effects, ["connect"], "{name}");
+        let left = call.shared.slices.rates.acquire_for_waiter("t", 1, call.now);
+        assert!(!matches!(left, Some(AcquireOutcome::Acquired { .. })), "{name}: all units were taken: {left:?}");
+    }
+}
+
+/// A call that waits is offered units again and again, which must not count as further demand.
+#[test]
+fn a_call_that_waits_counts_once_in_the_demand_for_a_window() {
+    let mut call = CallFixture::new("/chat", 1, 4, 0);
+    run("it waits", &mut call, vec![(Deliver(Event::Wake), "read body"), (DeliverBody, "request units")]);
+    let (first_wanted, ..) = call.shared.slices.demand("t", 1, call.now);
+    for _ in 0..20 {
+        assert!(call.shared.serve_quota_queue("t", call.now).is_empty());
+    }
+    let (wanted, ..) = call.shared.slices.demand("t", 1, call.now);
+    assert_eq!(wanted, first_wanted);
+}
+
+/// Calls that come while others have waited for the lease holder for a second are queued as well, however little
+/// time they have: its successor may answer at any moment.
+#[test]
+fn a_call_that_comes_late_in_an_outage_of_the_lease_holder_waits_for_its_answer() {
+    let mut call = CallFixture::new("/chat", 1, 4, 0);
+    let waits = || vec![(Deliver(Event::Wake), "read body"), (DeliverBody, "request units")];
+    run("the first call", &mut call, waits());
+    for (id, time) in [(2, 1_000 * MS), (3, 600 * MS)] {
+        call.advance(time);
+        call.next_call(id, "/chat");
+        run("a later call", &mut call, waits());
+    }
+    assert_eq!(call.holdings().waiting, (0, 3));
+    // The wakeups of all three calls come to the last one, which uses the first of them.
+    run("the answer", &mut call, vec![(AnswerQuota(1), "connect")]);
+    assert_eq!(call.holdings().waiting, (0, 0), "each of them got a unit");
+}
--- a/crates/core/tests/digests.rs
+++ b/crates/core/tests/digests.rs
@@ -105,3 +105,17 @@
     assert_eq!(log.newest_gap(), Some((max_digests, max_digests + 3)));
     assert!(log.insert_all([EntryDigest::of(&entry(3))]).is_empty(), "digests that are too old are not inserted");
 }
+
+/// Two digests of one version in one input, as a faulty peer may send them: the first counts, and the other's
+/// change identifier stays unknown.
+#[test]
+fn of_two_digests_of_one_version_the_first_counts() {
+    let first = EntryDigest::of(&entry(4));
+    let second = EntryDigest::of(&LogEntry { change_id: ChangeId(900), body: "other".into(), ..entry(4) });
+    let mut log = digest_log(0..4);
+    assert_eq!(log.insert_all([first, second]).len(), 1, "what is to be written to the disk");
+    assert_eq!(log.len(), 5);
+    assert_eq!(log.status_of(ChangeId(104), &document(4)), ChangeStatus::Decided(4));
+    assert_eq!(log.status_of(ChangeId(900), &document(4)), ChangeStatus::Unknown);
+    assert_eq!(log.with_id(ChangeId(900)).count(), 0);
+}
--- a/crates/core/tests/documents/patches.rs
+++ b/crates/core/tests/documents/patches.rs
@@ -66,6 +66,21 @@
     }
 }
 
+/// RFC 6901, section 3: `~` is written `~0`, and `/` is written `~1`.
+#[test]
+fn pointers_into_a_patch_escape_the_names_in_them() {
+    let mut duplicate = patch(8, &[("a/b~c", 1), ("a/b~c", 2)], &[]);
+    duplicate.lists[0].list = "r/w~s".into();
+    let mut dangling = patch(8, &[], &["z"]);
+    dangling.lists[0].list = "r/w~s".into();
+    let pointers = |patch: &Patch| -> Vec<String> {
+        let errors = patch.apply("{\"number\":1}").expect_err("it is wrong");
+        errors.iter().map(|error| error.pointer().to_owned()).collect()
+    };
+    assert_eq!(pointers(&duplicate), ["/r~1w~0s/a~1b~0c"]);
+    assert_eq!(pointers(&dangling), ["/r~1w~0s"]);
+}
+
 /// Reads a document of rows; one whose `what` is 666666 is invalid.
 fn read(text: &str) -> Result<CompiledConfig, Vec<ConfigError>> {
     let missing = || vec![ConfigError::Missing { pointer: "/number".into(), expected: "a number".into() }];
--- a/crates/core/tests/rates.rs
+++ b/crates/core/tests/rates.rs
@@ -294,6 +294,15 @@
     assert!(matches!(config.tenants["c"].quota, Limit::Window(quota) if quota.calls == 5));
 }
 
+#[test]
+fn the_effective_settings_of_a_tenant_name_its_urgency() {
+    let config = validate(r#"{"tenants":{"a":{"keys":[],"urgency":3},"b":{"keys":[]}}}"#).unwrap();
+    for (tenant, shown) in [("a", r#""urgency":3"#), ("b", r#""urgency":null"#)] {
+        let settings = effective(&config, "tenants", tenant).unwrap();
+        assert!(settings.contains(shown), "{settings}");
+    }
+}
+
 #[test]
 fn an_unlimited_tenant_makes_no_requests() {
     let slices = sumacvale_core::quota::WindowSlices::default();
