--- a/crates/checker/src/quota.rs
+++ b/crates/checker/src/quota.rs
@@ -4,8 +4,8 @@
 //! The nodes are whole ones; what callers would do at a front is played on its real slices. Time is common.
 //! Explored: when calls come and which of them refund their unit, which frame of the quota is delivered next
 //! (so any overtakes any other), a frame lost, a frame delivered twice, how far time passes meanwhile, and
-//! when the lease holder's process ends. All other frames (gossip, leases, registrations, grants among the
-//! cores) are delivered at once.
+//! when the lease holder's process ends. All other frames (gossip, leases, registrations, grants, and what the
+//! standbys request, among the cores) are delivered at once.
 
 use crate::explore::Model;
 use crate::frames::{AddressedFrame, FramesInFlight, InFlightFrame};
@@ -218,6 +218,8 @@
                 | QuotaMessage::ReturnSlice { .. }
                 | QuotaMessage::ShareRequests { .. }
                 | QuotaMessage::ShareGrants { .. }
+                | QuotaMessage::LoanRequests { .. }
+                | QuotaMessage::Loans { .. }
         )
     )
 }
@@ -265,17 +267,22 @@
 
     /// Steps one machine, and all that receive frames because of it whose order is not explored.
     fn step(&mut self, machine: usize, event: Event) {
-        let mut sent_frames = VecDeque::from(self.step_alone(machine, event));
-        while let Some(sent) = sent_frames.pop_front() {
-            if sent.to >= self.machines.len() {
+        let cores = self.machines.len() - self.callers.len();
+        let frames = self.step_alone(machine, event);
+        let mut sent_frames: VecDeque<_> = frames.into_iter().map(|sent| (machine, sent)).collect();
+        while let Some((sender, sent)) = sent_frames.pop_front() {
+            let receiver = sent.to;
+            if receiver >= self.machines.len() {
                 continue;
             }
-            if is_explored(&sent.frame.message) {
+            let is_among_cores = sender < cores && receiver < cores;
+            if is_explored(&sent.frame.message) && !is_among_cores {
                 let AddressedFrame { to, frame } = &sent;
                 let digest = digest_of(&(to, frame.from, frame.to, frame.incarnation, frame.sent_at, &frame.message));
                 self.frames.push(InFlightFrame::new(sent, digest));
             } else {
-                sent_frames.extend(self.step_alone(sent.to, Event::Frame(Box::new(sent.frame))));
+                let frames = self.step_alone(receiver, Event::Frame(Box::new(sent.frame)));
+                sent_frames.extend(frames.into_iter().map(|sent| (receiver, sent)));
             }
         }
     }
@@ -523,8 +530,8 @@
     }
 
     fn check_rate(&self, rate: u64, burst: u64) -> Result<(), String> {
-        let rows = (0..self.callers.len())
-            .flat_map(|front| self.machines[self.machine_of(front)].node.quota.slices.rates.list());
+        // Standbys, which are cores, hold shares as well.
+        let rows = self.machines.iter().flat_map(|machine| machine.node.quota.slices.rates.list());
         let shares: u64 = rows.map(|row| u64::from(row.1)).sum();
         if shares > u64::from(FULL_SHARE) {
             return Err(format!("all shares are one at most: {shares} millionths are held"));
--- a/crates/checker/src/scenarios.rs
+++ b/crates/checker/src/scenarios.rs
@@ -442,6 +442,29 @@
     ]
 }
 
+/// So many calls came to the first front when the lease holder restarted. Calls wait at both fronts, whose requests
+/// nobody grants, so that they turn to the standby.
+fn calls_without_holder(before: u8) -> Vec<quota::Opening> {
+    vec![
+        Calls { front: FIRST_FRONT, count: before },
+        Run { duration: 300 * MS },
+        RestartHolder,
+        Calls { front: FIRST_FRONT, count: 4 },
+        Calls { front: SECOND_FRONT, count: 2 },
+        PassTime { duration: 50 * MS },
+    ]
+}
+
+/// Many more calls come to one front than the rate brings in four seconds.
+fn crowd_at_one_front() -> Vec<quota::Opening> {
+    vec![
+        Calls { front: FIRST_FRONT, count: 80 },
+        Run { duration: 4 * SEC },
+        Calls { front: SECOND_FRONT, count: 2 },
+        PassTime { duration: 50 * MS },
+    ]
+}
+
 /// The bounds of quotas.
 #[must_use]
 pub fn quotas() -> Vec<Scenario<Quota>> {
@@ -494,6 +517,31 @@
             "shares-ended",
             with_three_cores(rate(1, 8, &spent_burst(), Allowance { calls: 1, time_steps: 1, ..DELIVERIES_ONLY })),
         ),
+        // The standby still has its part of the burst.
+        Scenario::small(
+            "shares-standby",
+            with_three_cores(rate(
+                1,
+                8,
+                &calls_without_holder(6),
+                Allowance { duplicates: 1, losses: 1, ..DELIVERIES_ONLY },
+            )),
+        ),
+        // More calls came than the burst has units: the standby lent all of its part.
+        Scenario::small(
+            "shares-standby-spent",
+            with_three_cores(rate(
+                1,
+                8,
+                &calls_without_holder(10),
+                Allowance { duplicates: 1, losses: 1, ..DELIVERIES_ONLY },
+            )),
+        ),
+        // Far more calls than come in, so that the standby's part is used as fast as it is refilled.
+        Scenario::small(
+            "shares-standby-refilled",
+            with_three_cores(rate(8, 8, &crowd_at_one_front(), Allowance { duplicates: 1, ..DELIVERIES_ONLY })),
+        ),
         Scenario::large(
             "shares-wide",
             rate(
--- a/crates/core/src/node/counters.rs
+++ b/crates/core/src/node/counters.rs
@@ -72,6 +72,10 @@
     shares_renewed,
     /// Requests for shares that this node sent.
     share_requests,
+    /// Requests for loans that this node sent to standbys.
+    loan_requests,
+    /// Units that this node lent as a standby.
+    units_lent_as_standby,
     /// Requests for shares that timed out.
     share_requests_timed_out,
     /// Calls of operators forwarded to a core.
--- a/crates/core/src/node/lease/holder.rs
+++ b/crates/core/src/node/lease/holder.rs
@@ -144,6 +144,8 @@
         self.quota.share_pools.begin_lease(role, has_no_predecessor, now, overlap);
         // Every voter of this majority that confirmed a registration did so before it voted.
         self.quota.share_pools.set_suspects(role, &registered);
+        let possible_standbys = self.possible_standbys(now);
+        self.quota.share_pools.set_reserve_suspects(role, possible_standbys);
         self.leases.held.renewal_due = now;
     }
 
--- a/crates/core/src/node/membership/mod.rs
+++ b/crates/core/src/node/membership/mod.rs
@@ -31,6 +31,8 @@
     pub(in crate::node) bootstrap_peers: BTreeMap<String, bootstrap::BootstrapPeer>,
     /// When this node next announces its bootstrap vote to the seeds, in microseconds.
     pub(in crate::node) bootstrap_due: Micros,
+    /// When the newest set of voters came into force here, but no earlier than this node's start, in microseconds.
+    pub(in crate::node) voters_changed_at: Micros,
     /// The incarnations of nodes that may hold shares of rates.
     pub(in crate::node) registrations: registrations::Registrations,
 }
@@ -45,6 +47,7 @@
             takeover: takeover::Takeover::default(),
             bootstrap_peers: BTreeMap::new(),
             bootstrap_due: 0,
+            voters_changed_at: now,
             registrations: registrations::Registrations::new(durable, now),
         }
     }
--- a/crates/core/src/node/membership/registrations.rs
+++ b/crates/core/src/node/membership/registrations.rs
@@ -10,7 +10,8 @@
 use crate::consensus::{DurableState, DurableWrite, is_majority};
 use crate::node::Node;
 use crate::node::quota::ShareRequests;
-use crate::protocol::{LeaseClaim, MembershipMessage, Message, QuotaMessage, RegisteredIncarnation};
+use crate::protocol::{LeaseClaim, MembershipMessage, Message, QuotaMessage, RegisteredIncarnation, ShareRequest};
+use crate::quota::{RESERVE_MARK, STANDBY_SHARE};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A lease holder relies on a registration for this long after it asked for it, in microseconds.
@@ -171,8 +172,13 @@
         let rates = self.tenant_rates();
         let is_granted_here = |key: &u64| rates.get(key).is_some_and(|t| self.share_epoch(t.role, now).is_some());
         let any_is_granted_here = batch.requests.iter().any(|request| is_granted_here(&request.tenant_key));
+        // What standbys without calls of their own hold is counted by every later lease holder, registered or not;
+        // others are granted no reserve.
+        let is_reserve =
+            |request: &ShareRequest| request.smallest_call == RESERVE_MARK && request.held_share <= STANDBY_SHARE;
+        let is_for_reserves = batch.requests.iter().all(is_reserve);
         let registrations = &mut self.membership.registrations;
-        if !any_is_granted_here || registrations.is_confirmed(from, REGISTRATION_VALIDITY, now) {
+        if !any_is_granted_here || is_for_reserves || registrations.is_confirmed(from, REGISTRATION_VALIDITY, now) {
             return Some(batch);
         }
         let waiting = &mut registrations.waiting;
@@ -278,9 +284,7 @@
         let mut claims_by_addr: BTreeMap<String, Vec<LeaseClaim>> = BTreeMap::new();
         for role in roles {
             let Some(claim) = self.lease_claim(*role, now) else { continue };
-            let suspects = self.quota.share_pools.suspects(*role, now);
-            let addrs: BTreeSet<_> = suspects.into_iter().map(|suspect| suspect.addr).collect();
-            for addr in addrs {
+            for addr in self.quota.share_pools.suspect_addresses(*role, now) {
                 claims_by_addr.entry(addr).or_default().push(claim);
             }
         }
--- a/crates/core/src/node/membership/takeover.rs
+++ b/crates/core/src/node/membership/takeover.rs
@@ -92,6 +92,7 @@
     /// Records that a new set of voters is in force here. Under the set before it this node was a voter or
     /// not, among that many voters.
     pub(in crate::node) fn on_voters_changed(&mut self, was_voter: bool, previous_count: usize, now: Micros) {
+        self.membership.voters_changed_at = now;
         let has_shrunk = self.consensus.state.voters().len() < previous_count;
         if !was_voter || has_shrunk || may_miss_leases(&self.consensus.state, self.settings.node_id) {
             self.leases.grantor.earlier_sets_until = now + LEASE_DURATION;
--- a/crates/core/src/node/quota/mod.rs
+++ b/crates/core/src/node/quota/mod.rs
@@ -1,10 +1,11 @@
 //! Quotas over all nodes together: slices of windows and shares of rates.
 //!
 //! [`windows`] grants units of counting windows; a grant is on the disks of a majority of voters before the node
-//! receives it. [`shares`] lends shares of rates, which expire by time and are on no disk. What both do alike
-//! stands here: finding the lease holder, trying the next voter after a time-out, and fencing.
+//! receives it. [`shares`] lends shares of rates, which expire by time and are on no disk; [`standby`] lends
+//! units of them where the lease holder does not answer. What they do alike stands here: finding the lease holder, trying the next voter after a time-out, and fencing.
 
 mod shares;
+mod standby;
 mod windows;
 
 pub(in crate::node) use shares::ShareRequests;
@@ -37,6 +38,8 @@
     pub(in crate::node) pending_grants: BTreeMap<u64, windows::PendingGrants>,
     /// For its own calls: requests for shares, and what is known of the lease holders.
     pub(in crate::node) share_client: shares::ShareClient,
+    /// Loans of the standbys, requested and granted.
+    pub(in crate::node) standby: standby::StandbyLending,
 }
 
 impl Quota {
@@ -53,6 +56,7 @@
             slice_requests: BTreeMap::new(),
             pending_grants: BTreeMap::new(),
             share_client: shares::ShareClient::default(),
+            standby: standby::StandbyLending::default(),
         }
     }
 }
@@ -98,6 +102,10 @@
             QuotaMessage::ShareGrants { request_id, grants, claims } => {
                 self.on_share_grants(from, request_id, &grants, &claims, now);
             }
+            QuotaMessage::LoanRequests { request_id, requests } => {
+                self.on_loan_requests(from, request_id, &requests, now);
+            }
+            QuotaMessage::Loans { request_id, loans } => self.on_loans(from, request_id, &loans, now),
         }
     }
 
--- a/crates/core/src/node/quota/shares.rs
+++ b/crates/core/src/node/quota/shares.rs
@@ -11,7 +11,7 @@
 use crate::lease::quota_role;
 use crate::node::Effect;
 use crate::protocol::{LeaseClaim, QuotaMessage, ShareGrant, ShareRequest};
-use crate::quota::{RESPONSE_TIMEOUT, tenant_key};
+use crate::quota::{RESERVE_MARK, RESPONSE_TIMEOUT, Requester, SharePurpose, tenant_key};
 use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -21,9 +21,10 @@
 /// The interval at which a lease holder drops expired shares, in microseconds.
 const EXPIRY_INTERVAL: Micros = 200 * MS;
 
-/// A tenant's rate, and the role whose lease holder lends it.
-#[derive(Clone, Copy, Debug)]
+/// A tenant with a rate, and the role whose lease holder lends it.
+#[derive(Clone, Debug)]
 pub(in crate::node) struct TenantRate {
+    pub(in crate::node) tenant: Arc<Tenant>,
     pub(in crate::node) role: u32,
     rate: Rate,
 }
@@ -95,7 +96,10 @@
             return cached.by_key.clone();
         }
         let tenant_rate = |tenant: &Arc<Tenant>| match tenant.quota {
-            Limit::Rate(rate) => Some((tenant_key(&tenant.name), TenantRate { role: quota_role(&tenant.name), rate })),
+            Limit::Rate(rate) => {
+                let role = quota_role(&tenant.name);
+                Some((tenant_key(&tenant.name), TenantRate { tenant: tenant.clone(), role, rate }))
+            }
             _ => None,
         };
         let by_key: Arc<RatesByKey> = Arc::new(self.config.tenants.values().filter_map(tenant_rate).collect());
@@ -106,21 +110,24 @@
     /// Calls of a tenant wait for `waiting` units, or its bucket runs low.
     pub(in crate::node) fn on_rate_needed(&mut self, tenant: &str, waiting: u64, now: Micros) {
         self.quota.slices.rates.request_soon(tenant);
+        self.quota.slices.rates.record_waiting(tenant, waiting, now);
         let waiting_units = self.quota.share_client.waiting_units.entry(tenant.to_owned()).or_default();
         *waiting_units = (*waiting_units).max(waiting);
         self.tick_shares(now);
     }
 
-    /// Sends the requests that are due, one message to each lease holder.
+    /// Sends the requests that are due, one message to each lease holder and each standby.
     pub(in crate::node) fn tick_shares(&mut self, now: Micros) {
         self.expire_share_pools(now);
         self.time_out_share_requests(now);
         if self.version().is_none() {
             return;
         }
-        let eager = !self.settings.is_core && !self.draining;
+        let is_eager_front = !self.settings.is_core && !self.draining;
+        let standby_roles = self.standby_roles(now);
+        let is_eager = |tenant: &str| is_eager_front || standby_roles.contains(&quota_role(tenant));
         let mut by_holder: BTreeMap<NodeId, Vec<String>> = BTreeMap::new();
-        for tenant in self.quota.slices.rates.due_requests(eager, now) {
+        for tenant in self.quota.slices.rates.due_requests(is_eager, now) {
             if let Some(holder) = self.share_holder(quota_role(&tenant)) {
                 by_holder.entry(holder).or_default().push(tenant);
             }
@@ -128,6 +135,7 @@
         for (holder, tenants) in by_holder {
             self.request_shares(holder, tenants, now);
         }
+        self.request_loans(now);
     }
 
     fn request_shares(&mut self, to: NodeId, tenants: Vec<String>, now: Micros) {
@@ -140,6 +148,10 @@
             let Some(request) = self.quota.slices.rates.make_request(&tenant, request_id, waiting, now) else {
                 continue;
             };
+            let request = match self.settings.is_core {
+                true => self.quota.slices.rates.into_reserve_request(&tenant, request),
+                false => request,
+            };
             requested.push(tenant);
             requests.push(request);
             idle_for.push(tenant_idle_for);
@@ -171,6 +183,7 @@
         *newest = token;
         self.quota.share_client.next_voters.remove(&claim.role);
         self.leases.held.holder_hints.insert(claim.role, holder);
+        self.quota.standby.record_holder(claim.role, holder);
         true
     }
 
@@ -249,6 +262,8 @@
         }
         let fenced_roles = self.observe_claims(from, claims);
         for (tenant, grant) in pending.tenants.iter().zip(grants) {
+            let has_standby = self.has_other_standby(quota_role(tenant), now);
+            self.quota.slices.rates.set_standby_available(tenant, has_standby);
             if grant.granted && !fenced_roles.contains(&quota_role(tenant)) {
                 if self.quota.slices.rates.apply_grant(tenant, request_id, *grant, pending.sent_at, now) {
                     self.outbox.push(Effect::WakeTenant { tenant: tenant.clone() });
@@ -289,6 +304,8 @@
     claims: &'a [LeaseClaim],
     voter_set: Version,
     live_nodes: u64,
+    /// The roles that the requester is the standby of.
+    standby_roles: BTreeSet<u32>,
 }
 
 impl RequestContext<'_> {
@@ -338,12 +355,13 @@
         let ShareRequests { request_id, requests, idle_for, claims } = batch;
         let voter_set = self.voter_set();
         let live_nodes = self.live_node_count(now);
-        let context = RequestContext { from, request_id, claims: &claims, voter_set, live_nodes };
+        let standby_roles = self.roles_with_standby(from.0, now);
+        let context = RequestContext { from, request_id, claims: &claims, voter_set, live_nodes, standby_roles };
         let mut own_claims: BTreeMap<u32, LeaseClaim> = BTreeMap::new();
         let mut grants = Vec::with_capacity(requests.len());
         for (index, request) in requests.iter().enumerate() {
             let mut grant = None;
-            if let Some(tenant) = rates.get(&request.tenant_key).copied() {
+            if let Some(tenant) = rates.get(&request.tenant_key) {
                 let epoch = self.grantable_epoch(tenant.role, &context, now);
                 own_claims.entry(tenant.role).or_insert_with(|| self.own_claim(tenant.role, epoch, voter_set, now));
                 let idle_for = idle_for.get(index).copied().unwrap_or(0);
@@ -372,19 +390,31 @@
     fn grant_share(
         &mut self,
         context: &RequestContext<'_>,
-        tenant: TenantRate,
+        tenant: &TenantRate,
         epoch: u64,
         request: &ShareRequest,
         idle_for: Micros,
         now: Micros,
     ) -> Option<ShareGrant> {
-        let TenantRate { role, rate } = tenant;
+        let TenantRate { role, rate, .. } = *tenant;
         // A request that was sent before this lease was known may be older than grants of an earlier lease.
-        if context.knows_lease(role, FencingToken { voter_set: context.voter_set, epoch }) {
+        let knows_lease = context.knows_lease(role, FencingToken { voter_set: context.voter_set, epoch });
+        if knows_lease {
             self.quota.share_pools.record_request(role, request, context.from, rate, idle_for, now);
         }
         let pool = self.quota.share_pools.pool(role, request.tenant_key, rate, now)?;
-        pool.request(context.from, context.request_id, request, rate, context.live_nodes, now)
+        let purpose = match (context.standby_roles.contains(&role), request.smallest_call == RESERVE_MARK) {
+            (true, _) => SharePurpose::Standby,
+            (false, true) => SharePurpose::FormerStandby,
+            (false, false) => SharePurpose::OwnCalls,
+        };
+        let requester = Requester { incarnation: context.from, request_id: context.request_id, purpose, knows_lease };
+        let mut grant = pool.grant(requester, request, rate, context.live_nodes, now)?;
+        if context.from.0 != self.settings.node_id {
+            let missing_units = request.missing_units.saturating_sub(grant.loaned_units);
+            grant.loaned_units += self.lend_own_units(&tenant.tenant.name, missing_units, request.smallest_call, now);
+        }
+        Some(grant)
     }
 
     fn count_share_grant(&mut self, grant: &ShareGrant, request: &ShareRequest) {
--- a/crates/core/src/protocol/message.rs
+++ b/crates/core/src/protocol/message.rs
@@ -97,7 +97,7 @@
             2 | 3 | 4 | 5 | 6 | 7 | 8 | 9 | 10 | 30 | 31 | 39 | 40 => decoder.decode().map(Message::Consensus),
             1 | 22 | 23 | 32 | 33 | 34 => decoder.decode().map(Message::Membership),
             17 | 18 | 19 | 41 | 42 => decoder.decode().map(Message::Lease),
-            20 | 21 | 24 | 25 | 26 | 27 | 28 | 29 | 35 | 36 | 37 | 38 => decoder.decode().map(Message::Quota),
+            20 | 21 | 24 | 25 | 26 | 27 | 28 | 29 | 35 | 36 | 37 | 38 | 45 | 46 => decoder.decode().map(Message::Quota),
             0 | 11 | 12 | 13 | 14 | 15 | 16 | 43 | 44 => decoder.decode().map(Message::Dissemination),
             _ => Err(context.message("no message has this tag; run releases next to each other only")),
         }
--- a/crates/core/src/protocol/mod.rs
+++ b/crates/core/src/protocol/mod.rs
@@ -25,4 +25,4 @@
 pub use lease::LeaseMessage;
 pub use membership::{MembershipMessage, RegisteredIncarnation};
 pub use message::Message;
-pub use quota::{LeaseClaim, QuotaMessage, ShareGrant, ShareRequest, WindowGrant};
+pub use quota::{LeaseClaim, Loan, LoanRequest, QuotaMessage, ShareGrant, ShareRequest, WindowGrant};
--- a/crates/core/src/protocol/quota.rs
+++ b/crates/core/src/protocol/quota.rs
@@ -1,6 +1,6 @@
 //! Messages of quotas: grants of windows, slices of them, and shares of rates.
 //!
-//! Windows are granted by messages 20 to 29 and rates by 35 to 38. Times are in microseconds and are always
+//! Windows are granted by messages 20 to 29 and rates by 35 to 38, 45 and 46. Times are in microseconds and are always
 //! durations, never points in time, as the clocks of two nodes are unrelated.
 
 use crate::base::{Micros, NodeId, Version};
@@ -65,6 +65,28 @@
     pub loaned_units: u32,
 }
 
+/// A request to a standby for units of one tenant's rate.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+#[musli(packed)]
+pub struct LoanRequest {
+    /// The hash of the tenant's name.
+    pub tenant_key: u64,
+    /// The units that calls wait for.
+    pub missing_units: u32,
+    /// The units of the smallest of these calls; fewer are of no use.
+    pub smallest_call: u32,
+}
+
+/// The units that a standby lends out of its own bucket, for calls that wait now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+#[musli(packed)]
+pub struct Loan {
+    /// The hash of the tenant's name.
+    pub tenant_key: u64,
+    /// The units; zero where the standby has too few.
+    pub units: u32,
+}
+
 /// A claim to the lease of a role. The pair of `voter_set` and `epoch` only grows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 #[musli(packed)]
@@ -234,6 +256,24 @@
         /// The lease holders of these roles by what the sender knows.
         claims: Vec<LeaseClaim>,
     },
+
+    /// A node requests units from the standby, as the lease holder does not answer or has none.
+    #[musli(name = 45)]
+    LoanRequests {
+        /// The number that the response repeats.
+        request_id: u64,
+        /// One request for each tenant.
+        requests: Vec<LoanRequest>,
+    },
+
+    /// The response to [`LoanRequests`](QuotaMessage::LoanRequests).
+    #[musli(name = 46)]
+    Loans {
+        /// The number of the request.
+        request_id: u64,
+        /// What is lent of each tenant that the sender knows.
+        loans: Vec<Loan>,
+    },
 }
 
 impl QuotaMessage {
@@ -252,6 +292,8 @@
             QuotaMessage::ShareProbeReply { .. } => "ShareProbeReply",
             QuotaMessage::ShareRequests { .. } => "ShareRequests",
             QuotaMessage::ShareGrants { .. } => "ShareGrants",
+            QuotaMessage::LoanRequests { .. } => "LoanRequests",
+            QuotaMessage::Loans { .. } => "Loans",
         }
     }
 }
--- a/crates/core/src/quota/mod.rs
+++ b/crates/core/src/quota/mod.rs
@@ -12,7 +12,9 @@
 mod window_ledger;
 
 pub use rates::{RateShares, tenant_key};
-pub use share_bucket::{FULL_SHARE, LOAN_DURATION, RESPONSE_TIMEOUT, SHARE_LEASE, ShareBucket};
-pub use share_pool::{SharePool, SharePools};
+pub use share_bucket::{
+    FULL_SHARE, HEDGE_AFTER, LOAN_DURATION, RESERVE_MARK, RESPONSE_TIMEOUT, SHARE_LEASE, ShareBucket,
+};
+pub use share_pool::{Requester, STANDBY_SHARE, SharePool, SharePools, SharePurpose};
 pub use slices::{AcquireOutcome, WindowSlices};
 pub use window_ledger::{LedgerAction, SliceRequest, WindowLedger};
--- a/crates/core/src/quota/rates.rs
+++ b/crates/core/src/quota/rates.rs
@@ -7,7 +7,7 @@
 use super::{AcquireOutcome, ShareBucket};
 use crate::base::{Micros, Shards, hash64};
 use crate::config::{CompiledConfig, Limit, Rate};
-use crate::protocol::{ShareGrant, ShareRequest};
+use crate::protocol::{LoanRequest, ShareGrant, ShareRequest};
 use std::sync::OnceLock;
 
 #[derive(Clone, Debug)]
@@ -141,20 +141,55 @@
         self.with_bucket(tenant, |bucket| bucket.request_rejected(request_id));
     }
 
-    /// The tenants, sorted by name, for which a request to the lease holder should go now.
-    pub fn due_requests(&self, eager: bool, now: Micros) -> Vec<String> {
-        let mut due = Vec::new();
+    /// The tenants, sorted by name, for which a request to the lease holder should go now. A node holds shares of
+    /// the tenants that `is_eager` accepts before any call comes.
+    pub fn due_requests(&self, is_eager: impl Fn(&str) -> bool, now: Micros) -> Vec<String> {
+        self.tenants_where(|name, bucket| bucket.is_request_due(is_eager(name), now))
+    }
+
+    /// The tenants, sorted by name, for which the standby should be asked for a loan now.
+    pub fn due_loans(&self, now: Micros) -> Vec<String> {
+        self.tenants_where(|_, bucket| bucket.is_loan_due(now))
+    }
+
+    fn tenants_where(&self, mut matches: impl FnMut(&str, &mut ShareBucket) -> bool) -> Vec<String> {
+        let mut names = Vec::new();
         for mut tenants in self.tenants.lock_each() {
             for (name, rate) in tenants.iter_mut() {
                 if let TenantRate::Limited(bucket) = rate
-                    && bucket.is_request_due(eager, now)
+                    && matches(name, bucket)
                 {
-                    due.push(name.clone());
+                    names.push(name.clone());
                 }
             }
         }
-        due.sort();
-        due
+        names.sort();
+        names
+    }
+
+    /// See [`ShareBucket::record_waiting`].
+    pub fn record_waiting(&self, tenant: &str, units: u64, now: Micros) {
+        self.with_bucket(tenant, |bucket| bucket.record_waiting(units, now));
+    }
+
+    /// See [`ShareBucket::set_standby_available`].
+    pub fn set_standby_available(&self, tenant: &str, is_available: bool) {
+        self.with_bucket(tenant, |bucket| bucket.set_standby_available(is_available));
+    }
+
+    /// See [`ShareBucket::make_loan_request`].
+    pub fn make_loan_request(&self, tenant: &str, now: Micros) -> Option<LoanRequest> {
+        self.with_bucket(tenant, |bucket| bucket.make_loan_request(tenant_key(tenant), now))
+    }
+
+    /// See [`ShareBucket::apply_loan`].
+    pub fn apply_loan(&self, tenant: &str, units: u32, sent_at: Micros, now: Micros) {
+        self.with_bucket(tenant, |bucket| bucket.apply_loan(units, sent_at, now));
+    }
+
+    /// See [`ShareBucket::lend`]; nothing where the tenant has no rate here.
+    pub fn lend(&self, tenant: &str, request: &LoanRequest, now: Micros) -> u32 {
+        self.with_bucket(tenant, |bucket| bucket.lend(request, now)).unwrap_or(0)
     }
 
     /// See [`ShareBucket::make_request`].
@@ -162,6 +197,11 @@
         self.with_bucket(tenant, |bucket| bucket.make_request(tenant_key(tenant), request_id, waits, now))
     }
 
+    /// See [`ShareBucket::into_reserve_request`].
+    pub fn into_reserve_request(&self, tenant: &str, request: ShareRequest) -> ShareRequest {
+        self.with_bucket(tenant, |bucket| bucket.into_reserve_request(request)).unwrap_or(request)
+    }
+
     /// See [`ShareBucket::idle_for`]; zero where the tenant has no rate.
     pub fn idle_for(&self, tenant: &str, now: Micros) -> Micros {
         self.with_bucket(tenant, |bucket| bucket.idle_for(now)).unwrap_or(0)
--- a/crates/core/src/quota/share_bucket.rs
+++ b/crates/core/src/quota/share_bucket.rs
@@ -9,9 +9,11 @@
 use super::AcquireOutcome;
 use crate::base::{MS, Micros, SEC};
 use crate::config::Rate;
-use crate::protocol::{ShareGrant, ShareRequest};
+use crate::protocol::{LoanRequest, ShareGrant, ShareRequest};
 use std::collections::VecDeque;
 
+/// What a request for a reserve has in the place of its smallest call, which is never that small.
+pub const RESERVE_MARK: u32 = 0;
 /// The whole of a tenant's rate, in the unit that shares are counted in (millionths).
 pub const FULL_SHARE: u32 = 1_000_000;
 /// How long a share is valid from the moment that the node sent its request, in microseconds.
@@ -25,10 +27,22 @@
 /// After this long, in microseconds, a request counts as timed out and is sent to another voter.
 pub const RESPONSE_TIMEOUT: Micros = 250 * MS;
 
+/// Where no lease holder has granted a request for this long, in microseconds, it is hedged: the standby is asked
+/// for a loan as well. Lease holders answer within a few milliseconds.
+pub const HEDGE_AFTER: Micros = 20 * MS;
+/// After this long, in microseconds, a request to the standby counts as timed out.
+const LOAN_TIMEOUT: Micros = 100 * MS;
+/// A standby that had nothing, or did not answer, is not asked again for this long, in microseconds.
+const LOAN_BACKOFF: Micros = 200 * MS;
+/// Calls that waited this long ago, in microseconds, count as waiting: the queues repeat themselves more often.
+const WAITING_VALIDITY: Micros = 50 * MS;
+
 /// A call must have started this long after it took its units, in microseconds; a later one needs new units.
 const UNIT_VALIDITY: Micros = 500 * MS;
 /// Units that are refunded later than this, in microseconds, are worth nothing.
 const REFUND_WINDOW: Micros = 2 * SEC;
+/// A reserve is refilled by its share of the rate over this, so that little of the rate is lost with a standby.
+const RESERVE_REFILL_DIVISOR: u32 = 8;
 /// The shortest interval over which the demand is measured, and between requests that nothing urges, in
 /// microseconds.
 const DEMAND_INTERVAL: Micros = 500 * MS;
@@ -74,6 +88,11 @@
     u128::from(rate.milli_per_second) * u128::from(share) * u128::from(elapsed)
 }
 
+/// The part of a reserve's share by which it is refilled, in millionths.
+pub(super) fn reserve_refill(share: u32) -> u32 {
+    share.div_ceil(RESERVE_REFILL_DIVISOR)
+}
+
 /// Units that a call took and may still refund.
 #[derive(Clone, Copy, Debug)]
 struct Refundable {
@@ -83,13 +102,64 @@
     units: u128,
 }
 
-/// Units lent by the lease holder for calls that wait.
+/// Units lent by the lease holder or its standby for calls that wait.
 #[derive(Clone, Copy, Debug, Default)]
 struct Loan {
     units: u32,
     expires_at: Micros,
 }
 
+impl Loan {
+    fn valid_units(&self, now: Micros) -> u32 {
+        if now < self.expires_at { self.units } else { 0 }
+    }
+
+    /// Takes up to so many valid units; returns how many are still missing.
+    fn take(&mut self, units: u32, now: Micros) -> u32 {
+        let taken = units.min(self.valid_units(now));
+        self.units -= taken;
+        units - taken
+    }
+}
+
+/// What a node asks of the standby of the tenant's role, for the calls that the lease holder does not serve.
+#[derive(Clone, Copy, Debug, Default)]
+struct StandbyLoans {
+    /// Whether another node stands by.
+    is_available: bool,
+    /// The units that calls waited for, and when.
+    waiting_units: u32,
+    waited_at: Micros,
+    requested_at: Micros,
+    is_awaiting_response: bool,
+    /// No request is sent before this.
+    backoff_until: Micros,
+}
+
+impl StandbyLoans {
+    /// Whether a request may bring units, or one is under way that may.
+    fn may_bring_units(&self, now: Micros) -> bool {
+        self.is_available && (self.is_pending(now) || now >= self.next_request_at())
+    }
+
+    /// A standby that does not answer is left alone like one that had nothing.
+    fn next_request_at(&self) -> Micros {
+        let timed_out_at = self.requested_at + LOAN_TIMEOUT;
+        let backoff = if self.is_awaiting_response { timed_out_at + LOAN_BACKOFF } else { 0 };
+        self.backoff_until.max(backoff)
+    }
+
+    fn is_pending(&self, now: Micros) -> bool {
+        self.is_awaiting_response && now < self.requested_at + LOAN_TIMEOUT
+    }
+
+    /// Whether calls wait and a request may go.
+    fn is_due(&self, now: Micros) -> bool {
+        let is_waiting = self.waiting_units > 0 && now < self.waited_at + WAITING_VALIDITY;
+        self.is_available && is_waiting && !self.is_pending(now) && now >= self.next_request_at()
+    }
+}
+
 /// One node's share of one tenant's rate, from which calls take units without a message to anyone.
 ///
 /// Invariants: of the shares that nodes hold at any time the sum is at most one, no bucket holds more than its
@@ -102,6 +172,10 @@
     /// In millionths of the rate; valid until `share_expires_at`.
     share: u32,
     share_expires_at: Micros,
+    /// Whether the share is a standby's reserve: the pool of the lease holder has the rest of its refill.
+    is_reserve: bool,
+    /// Whether the newest request was for a reserve.
+    is_reserve_requested: bool,
     /// What calls may take, in the scale of [`UNIT`]; refilled up to `refilled_at`.
     free: u128,
     refilled_at: Micros,
@@ -131,6 +205,8 @@
     /// How many units the newest request was for, and the smallest call among these.
     requested_units: u32,
     requested_smallest_call: u32,
+    /// When the first request was sent since the lease holder granted one.
+    ungranted_since: Option<Micros>,
     /// Requests in a row without a response.
     unanswered_requests: u32,
     /// When the newest request with a response was sent.
@@ -138,10 +214,12 @@
     /// A request should go as soon as the backoff allows.
     is_urgent: bool,
     loan: Loan,
+    standby_loan: Loan,
     /// The last response had too little for calls of this size or larger; zero where it had some.
     exhausted_for_call: u32,
     /// Until then a response without units does not mean that the rate is exhausted.
     pool_warm_up_until: Micros,
+    standby_loans: StandbyLoans,
     /// Since when this incarnation of the node was granted nothing of the tenant and held the same share.
     idle_since: Micros,
 }
@@ -209,7 +287,8 @@
         let refill_until = now.min(self.share_expires_at);
         if refill_until > self.refilled_at {
             let capacity = share_capacity(rate, self.share);
-            let refill = share_refill(rate, self.share, refill_until - self.refilled_at);
+            let refilled_share = if self.is_reserve { reserve_refill(self.share) } else { self.share };
+            let refill = share_refill(rate, refilled_share, refill_until - self.refilled_at);
             self.free = (self.free + refill).min(capacity);
             self.limit_refundable(capacity, now);
         }
@@ -265,20 +344,31 @@
             let low = self.free < share_capacity(self.rate(), self.share) / 4 && self.may_request(now);
             return AcquireOutcome::Acquired { window, until: now + UNIT_VALIDITY, low };
         }
-        let lent = if now < self.loan.expires_at { self.loan.units } else { 0 };
+        let lent = self.loan.valid_units(now).saturating_add(self.standby_loan.valid_units(now));
         if lent >= units {
-            self.loan.units -= units;
             // A refund of lent units is worth nothing: they were spent where they were lent.
-            return AcquireOutcome::Acquired { window: 0, until: self.loan.expires_at, low: false };
+            return AcquireOutcome::Acquired { window: 0, until: self.take_loans(units, now), low: false };
         }
         let rest = price - u128::from(lent) * UNIT;
         if lent > 0 && self.free >= rest {
-            self.loan.units = 0;
-            return AcquireOutcome::Acquired { window: self.spend(rest, now), until: self.loan.expires_at, low: false };
+            let until = self.take_loans(lent, now);
+            return AcquireOutcome::Acquired { window: self.spend(rest, now), until, low: false };
         }
         self.exhausted(units, now)
     }
 
+    /// Takes lent units; returns until when they may be used.
+    fn take_loans(&mut self, units: u32, now: Micros) -> Micros {
+        let of_holder = units.min(self.loan.valid_units(now));
+        let of_standby = self.loan.take(units, now);
+        self.standby_loan.take(of_standby, now);
+        match (of_holder, of_standby) {
+            (_, 0) => self.loan.expires_at,
+            (0, _) => self.standby_loan.expires_at,
+            _ => self.loan.expires_at.min(self.standby_loan.expires_at),
+        }
+    }
+
     /// Spends free units, and returns the number by which they can be refunded.
     fn spend(&mut self, price: u128, now: Micros) -> Micros {
         let taken_at = self.refundable.back().map_or(now, |last| now.max(last.taken_at + 1));
@@ -324,7 +414,8 @@
         let is_exhausted = self.exhausted_for_call > 0 && units >= self.exhausted_for_call;
         let is_unrequested = !is_exhausted && self.missing_units > 0;
         let is_warming_up = is_exhausted && now < self.pool_warm_up_until;
-        self.is_awaiting_response || is_unrequested || is_warming_up || self.may_request(now)
+        let may_borrow = self.standby_loans.may_bring_units(now);
+        self.is_awaiting_response || is_unrequested || is_warming_up || may_borrow || self.may_request(now)
     }
 
     /// Refunds unused units by their number: when they were taken.
@@ -409,7 +500,9 @@
         self.requested_smallest_call = self.smallest_missing_call.clamp(1, self.requested_units.max(1));
         self.missing_units = self.missing_units.min(self.requested_units);
         (self.request_id, self.requested_at) = (request_id, now);
+        self.ungranted_since.get_or_insert(now);
         (self.is_awaiting_response, self.is_urgent) = (true, false);
+        self.is_reserve_requested = false;
         self.returned = 0;
         ShareRequest {
             tenant_key: key,
@@ -423,6 +516,16 @@
         }
     }
 
+    /// Makes a request that no call needs one for a reserve, as standbys hold. What this node holds is refilled as a
+    /// reserve from now on, before the lease holder learns of it.
+    pub fn into_reserve_request(&mut self, request: ShareRequest) -> ShareRequest {
+        if request.demand_milli > 0 || request.missing_units > 0 {
+            return request;
+        }
+        (self.is_reserve, self.is_reserve_requested) = (true, true);
+        ShareRequest { smallest_call: RESERVE_MARK, ..request }
+    }
+
     fn measure_demand(&mut self, now: Micros) {
         let elapsed = now.saturating_sub(self.demand_since);
         let milli_per_second = |count: u64| count.saturating_mul(1_000 * SEC) / elapsed.max(DEMAND_INTERVAL);
@@ -449,12 +552,13 @@
             self.idle_since = self.idle_since.max(now);
         }
         self.record_response(sent_at, now);
+        self.is_reserve = self.is_reserve_requested;
         self.change_share(grant, sent_at);
         true
     }
 
     fn record_response(&mut self, sent_at: Micros, now: Micros) {
-        (self.is_awaiting_response, self.unanswered_requests) = (false, 0);
+        (self.is_awaiting_response, self.unanswered_requests, self.ungranted_since) = (false, 0, None);
         if self.knows_nothing(now) {
             self.pool_warm_up_until = now + POOL_WARM_UP;
         }
@@ -481,6 +585,56 @@
         self.share_expires_at = self.share_expires_at.max(sent_at + SHARE_LEASE);
     }
 
+    /// Calls wait for so many units now.
+    pub fn record_waiting(&mut self, units: u64, now: Micros) {
+        let units = u32::try_from(units).unwrap_or(u32::MAX);
+        let is_outdated = now >= self.standby_loans.waited_at + WAITING_VALIDITY;
+        let loans = &mut self.standby_loans;
+        loans.waiting_units = if is_outdated { units } else { loans.waiting_units.max(units) };
+        loans.waited_at = now;
+    }
+
+    /// Sets whether another node stands by for the lease holder.
+    pub fn set_standby_available(&mut self, is_available: bool) {
+        self.standby_loans.is_available = is_available;
+    }
+
+    /// Whether the standby should be asked now: calls wait, and the lease holder does not answer or has nothing.
+    pub fn is_loan_due(&self, now: Micros) -> bool {
+        let is_ungranted = self.ungranted_since.is_some_and(|since| now >= since + HEDGE_AFTER);
+        self.standby_loans.is_due(now) && (is_ungranted || self.exhausted_for_call > 0)
+    }
+
+    /// Makes the request to the standby that goes now.
+    pub fn make_loan_request(&mut self, key: u64, now: Micros) -> LoanRequest {
+        let most = MAX_REQUESTED_CALLS.saturating_mul(self.usual_call.max(1));
+        let missing_units = std::mem::take(&mut self.standby_loans.waiting_units).min(most);
+        let smallest_call = self.smallest_missing_call.clamp(1, missing_units.max(1));
+        (self.standby_loans.requested_at, self.standby_loans.is_awaiting_response) = (now, true);
+        LoanRequest { tenant_key: key, missing_units, smallest_call }
+    }
+
+    /// Applies the standby's response to the request that was sent at `sent_at`.
+    pub fn apply_loan(&mut self, units: u32, sent_at: Micros, now: Micros) {
+        if sent_at == self.standby_loans.requested_at {
+            self.standby_loans.is_awaiting_response = false;
+            if units == 0 {
+                self.standby_loans.backoff_until = now + LOAN_BACKOFF;
+            }
+        }
+        self.standby_loan = Loan { units, expires_at: sent_at + LOAN_DURATION };
+    }
+
+    /// Lends units to another node's calls: they are spent here. Only whole calls are lent.
+    pub fn lend(&mut self, request: &LoanRequest, now: Micros) -> u32 {
+        self.refill(now);
+        let smallest_call = u64::from(request.smallest_call.max(1));
+        let whole_calls = u64::try_from(self.free / UNIT).unwrap_or(u64::MAX) / smallest_call * smallest_call;
+        let lent = u32::try_from(u64::from(request.missing_units).min(whole_calls)).unwrap_or(0);
+        self.free -= u128::from(lent) * UNIT;
+        lent
+    }
+
     /// For metrics: the share in millionths, and the whole units that are free.
     pub fn list(&self) -> (u32, u64) {
         (self.share, u64::try_from(self.free / UNIT).unwrap_or(u64::MAX))
--- a/crates/core/src/quota/share_pool.rs
+++ b/crates/core/src/quota/share_pool.rs
@@ -9,7 +9,9 @@
 //! A pool that can't grant a share in full marks a shortage, during which nodes with a surplus return it at
 //! once.
 
-use super::share_bucket::{FULL_SHARE, MILLI, SHARE_LEASE, UNIT, share_capacity, share_refill};
+use super::share_bucket::{
+    FULL_SHARE, MILLI, RESERVE_MARK, SHARE_LEASE, UNIT, reserve_refill, share_capacity, share_refill,
+};
 use crate::base::{Incarnation, MS, Micros, NodeId};
 use crate::config::Rate;
 use crate::protocol::{RegisteredIncarnation, ShareGrant, ShareRequest};
@@ -30,6 +32,13 @@
 /// smallest surplus.
 const SHORTAGE_DURATION: Micros = 1_000 * MS;
 
+/// The share that the standby of the lease holder holds at least, in millionths: a quarter of the burst and what
+/// comes in of the rate last a tenant for the time in which a lost lease holder is replaced.
+pub const STANDBY_SHARE: u32 = FULL_SHARE / 4;
+/// A standby holds a share only of rates whose burst has at least so many usual calls, as it takes its part of the
+/// burst out of the pool.
+const MIN_CALLS_FOR_STANDBY: u64 = 8;
+
 /// One incarnation of a node.
 type NodeIncarnation = (NodeId, Incarnation);
 
@@ -42,6 +51,37 @@
     share: u32,
     expires_at: Micros,
     demand_milli: u64,
+    /// The units of the node's usual call.
+    usual_call: u32,
+    /// Whether no call of its own came to the node, so that it holds the share as a standby alone.
+    is_reserve: bool,
+    /// Whether the refill of the reserve comes to this pool. Where the node may still apply a grant of an earlier
+    /// lease, it may be refilled itself.
+    is_refilled_here: bool,
+}
+
+/// Who requests a share.
+#[derive(Clone, Copy, Debug)]
+pub struct Requester {
+    /// The requesting node and its incarnation.
+    pub incarnation: (NodeId, Incarnation),
+    /// The number of the request.
+    pub request_id: u64,
+    /// What it requests the share for.
+    pub purpose: SharePurpose,
+    /// Whether it knew of this lease as it sent the request, so that no grant of an earlier one can follow.
+    pub knows_lease: bool,
+}
+
+/// What a node requests a share for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SharePurpose {
+    /// For the calls that come to it.
+    OwnCalls,
+    /// For the calls that come to it, and as the standby of the lease holder.
+    Standby,
+    /// For no calls, as it was the standby or takes itself for it: it returns what it holds.
+    FormerStandby,
 }
 
 /// A share that nobody held for some time, and whose refill is credited to the pool.
@@ -54,17 +94,24 @@
 
 /// One tenant's rate as its lease holder lends it.
 ///
-/// Invariants: `held_total` and `demand_total_milli` are the sums over `held`; `held_total` and
+/// Invariants: `held_total`, `reserve_total` and `demand_total_milli` are the sums over `held`; `held_total` and
 /// `unaccounted_share` together never exceed [`FULL_SHARE`] by what this pool grants; `free` never exceeds
 /// the burst of the rest.
 #[derive(Clone, Debug, Default)]
 pub struct SharePool {
     held: BTreeMap<NodeIncarnation, HeldShare>,
     held_total: u64,
+    /// What of it standbys hold as reserves, whose refill comes to the pool but for a small part.
+    reserve_total: u64,
     demand_total_milli: u64,
     /// What incarnations that have not reported yet may hold, in millionths, until `unaccounted_until`.
     unaccounted_share: u64,
     unaccounted_until: Micros,
+    /// What a standby may hold that a former lease holder granted it, in millionths, until `reserve_until` or until
+    /// each node that may be that standby has reported. Standbys without calls of their own are not registered.
+    unaccounted_reserve: u64,
+    reserve_until: Micros,
+    reserve_suspects: BTreeSet<NodeId>,
     /// Incarnations that may hold some of the unaccounted share; once none is left it ends at once.
     suspects: BTreeSet<NodeIncarnation>,
     /// Since when nothing was granted to anybody, by the reports on the suspects; meaningful only once none is
@@ -94,9 +141,38 @@
         SharePool { free, refilled_at: now, unaccounted_until: now, ..SharePool::default() }
     }
 
+    /// A standby among these nodes may hold a share that a former lease holder granted it, until then.
+    fn with_unaccounted_reserve(self, suspects: BTreeSet<NodeId>, until: Micros, now: Micros) -> Self {
+        if suspects.is_empty() || now >= until {
+            return self;
+        }
+        let free = self.free / u128::from(FULL_SHARE) * u128::from(FULL_SHARE - STANDBY_SHARE);
+        let unaccounted_reserve = u64::from(STANDBY_SHARE);
+        SharePool { free, unaccounted_reserve, reserve_until: until, reserve_suspects: suspects, ..self }
+    }
+
+    /// A node has reported what it holds of the tenant: as a former standby it holds nothing else.
+    fn clear_reserve_suspect(&mut self, node: NodeId) {
+        if self.reserve_suspects.remove(&node) && self.reserve_suspects.is_empty() {
+            self.unaccounted_reserve = 0;
+        }
+    }
+
+    fn has_open_reserve(&self, now: Micros) -> bool {
+        now < self.reserve_until && self.unaccounted_reserve > 0
+    }
+
     /// The part that nobody can hold, in millionths.
     fn unheld_share(&self) -> u32 {
-        let taken = self.held_total + self.unaccounted_share;
+        let taken = self.held_total + self.unaccounted_share.max(self.unaccounted_reserve);
+        u32::try_from(u64::from(FULL_SHARE).saturating_sub(taken)).unwrap_or(0)
+    }
+
+    /// The part of the rate that nobody else is refilled by, in millionths.
+    fn refilled_share(&self) -> u32 {
+        let reserve = |share: u64| u64::from(reserve_refill(u32::try_from(share).unwrap_or(FULL_SHARE)));
+        let held = self.held_total - self.reserve_total + reserve(self.reserve_total);
+        let taken = held + self.unaccounted_share.max(reserve(self.unaccounted_reserve));
         u32::try_from(u64::from(FULL_SHARE).saturating_sub(taken)).unwrap_or(0)
     }
 
@@ -108,12 +184,15 @@
     /// before.
     fn refill(&mut self, rate: Rate, now: Micros) {
         let unheld = self.unheld_share();
-        let refill = share_refill(rate, unheld, now.saturating_sub(self.refilled_at));
+        let refill = share_refill(rate, self.refilled_share(), now.saturating_sub(self.refilled_at));
         self.free = (self.free + refill).min(share_capacity(rate, unheld));
         self.refilled_at = self.refilled_at.max(now);
         if now >= self.unaccounted_until {
             self.unaccounted_share = 0;
         }
+        if now >= self.reserve_until {
+            self.unaccounted_reserve = 0;
+        }
         // What nobody held, and nobody was granted anything of, is as full as the rate filled it.
         if let Some(IdleShare { share, duration }) = self.idle_share.take() {
             self.free += share_refill(rate, share, duration).min(share_capacity(rate, share));
@@ -124,25 +203,18 @@
     /// Drops the shares that have expired.
     pub fn expire(&mut self, rate: Rate, now: Micros) {
         self.refill(rate, now);
-        let (mut held_total, mut demand_total_milli) = (0, 0);
-        self.held.retain(|_, held| {
-            let is_valid = now < held.expires_at;
-            if is_valid {
-                held_total += u64::from(held.share);
-                demand_total_milli += held.demand_milli;
-            }
-            is_valid
-        });
-        (self.held_total, self.demand_total_milli) = (held_total, demand_total_milli);
+        self.held.retain(|_, held| now < held.expires_at);
+        self.held_total = self.held.values().map(|held| u64::from(held.share)).sum();
+        let reserves = self.held.values().filter(|held| held.is_refilled_here);
+        self.reserve_total = reserves.map(|held| u64::from(held.share)).sum();
+        self.demand_total_milli = self.held.values().map(|held| held.demand_milli).sum();
     }
 
     /// The share that a node should hold, by its demand against that of the others.
     fn target_share(&self, rate: Rate, request: &ShareRequest, nodes: u64) -> u32 {
         let whole = u64::from(FULL_SHARE);
         let demand_total = self.demand_total_milli;
-        // A share smaller than this never holds the units of a usual call.
-        let usual_call = u64::from(request.usual_call.max(1));
-        let one_call = (whole * 1_000 * usual_call).div_ceil(rate.burst_milli.max(1)).min(whole);
+        let one_call = share_of_call(rate, request.usual_call);
         // Half of the rate follows the demand, where that is steady enough to be measured; the rest stays in
         // the pool for nodes whose buckets are empty.
         let steady = if request.call_rate_milli >= STEADY_CALL_RATE_MILLI { request.demand_milli } else { 0 };
@@ -154,6 +226,39 @@
         u32::try_from(target.min(whole)).unwrap_or(FULL_SHARE)
     }
 
+    /// The share that a node should hold for a purpose.
+    fn target_for(&self, requester: &Requester, rate: Rate, request: &ShareRequest, nodes: u64) -> u32 {
+        let for_own_calls = self.target_share(rate, request, nodes);
+        let standby_share = || self.standby_share(requester, request.held_share, rate);
+        match (requester.purpose, request.demand_milli > 0) {
+            (SharePurpose::OwnCalls, _) => for_own_calls,
+            (SharePurpose::Standby, true) => for_own_calls.max(standby_share()),
+            (SharePurpose::Standby, false) => standby_share(),
+            (SharePurpose::FormerStandby, _) => 0,
+        }
+    }
+
+    /// What standbys without calls of their own hold, or may hold, but for this one.
+    fn reserves_of_others(&self, standby: NodeIncarnation) -> u64 {
+        let others = self.held.iter().filter(|(holder, held)| **holder != standby && held.is_reserve);
+        others.map(|(_, held)| u64::from(held.share)).sum::<u64>() + self.unaccounted_reserve
+    }
+
+    /// The share that the standby holds whatever its own demand is. It grows only out of a pool that is at least
+    /// half full, as what is scarce is better lent where it is asked for first, and once no other reserve is left: a
+    /// later lease holder counts one that it does not know of.
+    fn standby_share(&self, standby: &Requester, held_share: u32, rate: Rate) -> u32 {
+        let usual_call = self.held.values().map(|held| held.usual_call).max().unwrap_or(1);
+        let is_large = share_of_call(rate, usual_call) * MIN_CALLS_FOR_STANDBY <= u64::from(FULL_SHARE);
+        let is_plentiful = self.free * 2 >= share_capacity(rate, self.unheld_share());
+        let may_grow = is_plentiful && standby.knows_lease && self.reserves_of_others(standby.incarnation) == 0;
+        match (is_large, may_grow) {
+            (false, _) => 0,
+            (true, true) => STANDBY_SHARE,
+            (true, false) => held_share.min(STANDBY_SHARE),
+        }
+    }
+
     /// Grants a share, and lends units to calls that wait. None where a later request of the same sender has
     /// overtaken this one.
     pub fn request(
@@ -165,18 +270,44 @@
         nodes: u64,
         now: Micros,
     ) -> Option<ShareGrant> {
+        let requester = Requester { incarnation: by, request_id, purpose: SharePurpose::OwnCalls, knows_lease: false };
+        self.grant(requester, request, rate, nodes, now)
+    }
+
+    /// As [`request`](Self::request), of a node that may be the standby.
+    pub fn grant(
+        &mut self,
+        requester: Requester,
+        request: &ShareRequest,
+        rate: Rate,
+        nodes: u64,
+        now: Micros,
+    ) -> Option<ShareGrant> {
+        let Requester { incarnation, request_id, purpose, knows_lease } = requester;
         self.refill(rate, now);
-        let previous = self.held.get(&by).cloned().unwrap_or_default();
+        let previous = self.held.get(&incarnation).cloned().unwrap_or_default();
         if request_id <= previous.request_id {
             return None;
         }
         self.account_for(&previous, request, rate);
-        let target = self.target_share(rate, request, nodes);
-        let is_far = self.is_far_from_target(target, request, rate, now);
+        let is_reserve = purpose != SharePurpose::OwnCalls && request.smallest_call == RESERVE_MARK;
+        if previous.is_refilled_here {
+            self.reserve_total -= u64::from(previous.share);
+        }
+        let is_refilled_here = is_reserve && knows_lease;
+        if is_refilled_here {
+            self.unaccounted_reserve -= self.unaccounted_reserve.min(u64::from(request.held_share));
+        }
+        let target = self.target_for(&requester, rate, request, nodes);
+        let is_returned = purpose == SharePurpose::FormerStandby;
+        let is_far = is_returned || self.is_far_from_target(target, request, rate, now);
         let mut grant = ShareGrant { granted: true, share: request.held_share, ..ShareGrant::default() };
         grant.loaned_units = self.lend(request);
         if target > request.held_share && is_far {
-            self.grow(&mut grant, target, rate, now);
+            self.grow(&mut grant, target, rate);
+            if grant.share < target && purpose != SharePurpose::Standby {
+                self.shortage_until = now + SHORTAGE_DURATION;
+            }
         } else if target < request.held_share && is_far {
             grant.share = target;
         }
@@ -185,7 +316,12 @@
         self.held_total += u64::from(share - request.held_share);
         self.cap_free(rate);
         let expires_at = now + SHARE_LEASE + EXPIRY_GRACE;
-        self.held.insert(by, HeldShare { request_id, share, expires_at, demand_milli: request.demand_milli });
+        let (demand_milli, usual_call) = (request.demand_milli, request.usual_call);
+        if is_refilled_here {
+            self.reserve_total += u64::from(share);
+        }
+        let held = HeldShare { request_id, share, expires_at, demand_milli, usual_call, is_reserve, is_refilled_here };
+        self.held.insert(incarnation, held);
         Some(grant)
     }
 
@@ -227,12 +363,8 @@
     }
 
     /// Grows a share towards its target as far as the unheld part allows, with half of the free units on top.
-    fn grow(&mut self, grant: &mut ShareGrant, target: u32, rate: Rate, now: Micros) {
-        let wanted = target - grant.share;
-        let added = wanted.min(self.unheld_share());
-        if added < wanted {
-            self.shortage_until = now + SHORTAGE_DURATION;
-        }
+    fn grow(&mut self, grant: &mut ShareGrant, target: u32, rate: Rate) {
+        let added = (target - grant.share).min(self.unheld_share());
         let burst_milli = (self.free / 2).min(share_capacity(rate, added)) / MILLI;
         self.free -= burst_milli * MILLI;
         grant.share += added;
@@ -251,7 +383,8 @@
         }
         if self.unaccounted_share > 0 {
             let known = self.held.get(&by).map_or(0, |held| held.share);
-            let unheld = self.unaccounted_share.saturating_sub(u64::from(held_share.saturating_sub(known)));
+            let reported = u64::from(held_share.saturating_sub(known));
+            let unheld = self.unaccounted_share.saturating_sub(reported + self.unaccounted_reserve);
             let share = u32::try_from(unheld).unwrap_or(0);
             self.idle_share = Some(IdleShare { share, duration: now.saturating_sub(self.idle_since) });
         }
@@ -264,6 +397,12 @@
     }
 }
 
+/// The smallest share that ever holds the units of a usual call, in millionths.
+fn share_of_call(rate: Rate, usual_call: u32) -> u64 {
+    let whole = u64::from(FULL_SHARE);
+    (whole * 1_000 * u64::from(usual_call.max(1))).div_ceil(rate.burst_milli.max(1)).min(whole)
+}
+
 /// When a duration that another node measured started at the latest, by this node's clock.
 fn latest_start(measured: Micros, now: Micros) -> Micros {
     now.saturating_sub(measured / (SLOWEST_CLOCK + 1) * SLOWEST_CLOCK)
@@ -279,8 +418,13 @@
 struct RoleLease {
     /// There was no lease holder before, so nobody holds anything.
     is_first: bool,
-    /// All shares that earlier lease holders granted have expired by then.
+    /// All shares that earlier lease holders granted have expired by then, unless those that may hold any are proven
+    /// dead or reported before.
     unaccounted_until: Micros,
+    /// The nodes, with their addresses, that may have been standbys of earlier lease holders. All shares that they
+    /// were granted have expired by `reserve_until`.
+    reserve_suspects: BTreeMap<NodeId, String>,
+    reserve_until: Micros,
     /// The incarnations, with their addresses, that earlier lease holders may have granted shares to and that
     /// are not proven dead.
     suspects: BTreeMap<NodeIncarnation, String>,
@@ -310,9 +454,12 @@
     /// `late` microseconds after it.
     pub fn begin_lease(&mut self, role: u32, first: bool, now: Micros, late: Micros) {
         self.end_lease(role);
+        let unaccounted_until = now + late + SHARE_LEASE + EXPIRY_GRACE;
         let lease = RoleLease {
             is_first: first,
-            unaccounted_until: now + late + SHARE_LEASE + EXPIRY_GRACE,
+            unaccounted_until,
+            reserve_suspects: BTreeMap::new(),
+            reserve_until: unaccounted_until,
             suspects: BTreeMap::new(),
             idle_since: now.saturating_sub(UNREGISTERED_IDLE),
             suspects_proven_dead: false,
@@ -328,6 +475,30 @@
         }
     }
 
+    /// Sets the only nodes, with their addresses, that may have been standbys of earlier lease holders. Without any
+    /// nobody was.
+    pub fn set_reserve_suspects(&mut self, role: u32, nodes: BTreeMap<NodeId, String>) {
+        if let Some(lease) = self.leases.get_mut(&role) {
+            lease.reserve_suspects = nodes;
+        }
+    }
+
+    /// The addresses of the nodes that must report before what a standby may hold ends early.
+    fn reserve_suspect_addresses(&self, role: u32, now: Micros) -> BTreeSet<String> {
+        let Some(lease) = self.leases.get(&role).filter(|lease| now < lease.reserve_until && !lease.is_first) else {
+            return BTreeSet::new();
+        };
+        let mut pools = self.pools.values().filter(|entry| entry.role == role).map(|entry| &entry.pool).peekable();
+        let is_open = pools.peek().is_none() || pools.any(|pool| pool.has_open_reserve(now));
+        if is_open { lease.reserve_suspects.values().cloned().collect() } else { BTreeSet::new() }
+    }
+
+    /// The addresses to probe: of all nodes that must report before the unaccounted shares end early.
+    pub fn suspect_addresses(&self, role: u32, now: Micros) -> BTreeSet<String> {
+        let registered = self.suspects(role, now).into_iter().map(|suspect| suspect.addr);
+        registered.chain(self.reserve_suspect_addresses(role, now)).collect()
+    }
+
     /// The incarnations that must report before the unaccounted shares end early.
     pub fn suspects(&self, role: u32, now: Micros) -> Vec<RegisteredIncarnation> {
         let Some(lease) = self.leases.get(&role).filter(|lease| now < lease.unaccounted_until) else {
@@ -390,6 +561,7 @@
     ) {
         if let Some(pool) = self.pool(role, request.tenant_key, rate, now) {
             pool.refill(rate, now);
+            pool.clear_reserve_suspect(by.0);
             pool.clear_suspect(by, request.held_share, latest_start(idle, now), now);
             pool.refill(rate, now);
         }
@@ -400,7 +572,12 @@
         let lease = self.leases.get(&role)?;
         let new_pool = || {
             let from = if lease.suspects_proven_dead { lease.idle_since } else { lease.unaccounted_until };
-            let mut pool = if lease.is_first { SharePool::full(rate, now) } else { SharePool::new(rate, from, now) };
+            let mut pool = if lease.is_first {
+                SharePool::full(rate, now)
+            } else {
+                let suspects = lease.reserve_suspects.keys().copied().collect();
+                SharePool::new(rate, from, now).with_unaccounted_reserve(suspects, lease.reserve_until, now)
+            };
             pool.suspects = lease.suspects.keys().copied().collect();
             pool.idle_since = lease.idle_since;
             RolePool { role, pool }
--- a/crates/core/tests/golden/frames.rs
+++ b/crates/core/tests/golden/frames.rs
@@ -288,6 +288,8 @@
             grants: vec![share_given()],
             claims: marks(),
         })),
+        plain(Message::Quota(QuotaMessage::LoanRequests { request_id: 345, requests: vec![loan_request()] })),
+        plain(Message::Quota(QuotaMessage::Loans { request_id: 346, loans: vec![loan()] })),
     ]
 }
 
--- a/crates/core/tests/golden/values.rs
+++ b/crates/core/tests/golden/values.rs
@@ -4,8 +4,8 @@
 use sumacvale_core::base::{ChangeId, NodeId};
 use sumacvale_core::config::{Item, ListPatch, Patch};
 use sumacvale_core::protocol::{
-    Ballot, EntryDigest, Heartbeat, LeaseClaim, LogEntry, PeerRecord, RegisteredIncarnation, RemovalKey, ShareGrant,
-    ShareRequest, Voter, WindowGrant, WorkerReport,
+    Ballot, EntryDigest, Heartbeat, LeaseClaim, Loan, LoanRequest, LogEntry, PeerRecord, RegisteredIncarnation,
+    RemovalKey, ShareGrant, ShareRequest, Voter, WindowGrant, WorkerReport,
 };
 
 pub fn core(number: u64) -> Voter {
@@ -148,6 +148,14 @@
     ShareGrant { granted: true, share: 3_101, burst_milli: 3_102, loaned_units: 3_103 }
 }
 
+pub fn loan_request() -> LoanRequest {
+    LoanRequest { tenant_key: 0xFEED_0000_0000_0002, missing_units: 3_151, smallest_call: 3_152 }
+}
+
+pub fn loan() -> Loan {
+    Loan { tenant_key: 0xFEED_0000_0000_0003, units: 3_161 }
+}
+
 pub fn share_mark(number: u32) -> LeaseClaim {
     let wide = u64::from(number);
     LeaseClaim { role: 3_200 + number, voter_set: 3_300 + wide, epoch: 3_400 + wide, holder: NodeId(3_500 + wide) }
--- a/crates/core/tests/golden/variants.rs
+++ b/crates/core/tests/golden/variants.rs
@@ -84,6 +84,8 @@
     ShareProbeReply => "probed",
     ShareRequests => "share_ask",
     ShareGrants => "shares",
+    LoanRequests => "loan_ask",
+    Loans => "loans",
 });
 
 name_variants!(DisseminationMessage, dissemination_name, DISSEMINATION_NAMES, {
--- a/crates/core/tests/rates.rs
+++ b/crates/core/tests/rates.rs
@@ -310,7 +310,7 @@
     for now in 0..1_000 {
         assert!(matches!(slices.acquire_unit("b", now), AcquireOutcome::Acquired { low: false, .. }));
     }
-    assert!(slices.rates.due_requests(true, SEC).is_empty());
+    assert!(slices.rates.due_requests(|_| true, SEC).is_empty());
 }
 
 /// The most by which any interval exceeds the rate, in thousandths of calls.
