Checker: standbys have their reserve before the bounds begin; four planted faults are caught

The planted faults of standby lending were not caught: the bounds began before the standby had its reserve, and one fault was planted so that it underflowed.

--- a/crates/checker/src/scenarios.rs
+++ b/crates/checker/src/scenarios.rs
@@ -381,6 +381,10 @@
     Quota { cores: 1, fronts: 2, limit, opening: opening.to_vec(), allowance, step: QUOTA_STEP }
 }
 
+/// A standby holds its reserve this long after the machines met, in microseconds: its first request can't prove yet
+/// that it knows the lease.
+const STANDBY_READY: Micros = 6 * SEC;
+
 /// The fronts of the bounds of quotas.
 const FIRST_FRONT: usize = 0;
 const SECOND_FRONT: usize = 1;
@@ -446,6 +450,7 @@
 /// nobody grants, so that they turn to the standby.
 fn calls_without_holder(before: u8) -> Vec<quota::Opening> {
     vec![
+        Run { duration: STANDBY_READY },
         Calls { front: FIRST_FRONT, count: before },
         Run { duration: 300 * MS },
         RestartHolder,
@@ -458,6 +463,7 @@
 /// Many more calls come to one front than the rate brings in four seconds.
 fn crowd_at_one_front() -> Vec<quota::Opening> {
     vec![
+        Run { duration: STANDBY_READY },
         Calls { front: FIRST_FRONT, count: 80 },
         Run { duration: 4 * SEC },
         Calls { front: SECOND_FRONT, count: 2 },
--- a/crates/checker/tests/bounds.rs
+++ b/crates/checker/tests/bounds.rs
@@ -55,7 +55,7 @@
 #[test]
 fn every_planted_fault_still_finds_its_guard() {
     let faults = planted::read_list().expect("the list is there");
-    assert!(faults.len() >= 33);
+    assert!(faults.len() >= 37);
     let copy = std::env::temp_dir().join(format!("sumacvale-planted-{}", std::process::id()));
     planted::copy_sources(&planted::root(), &copy).expect("copied");
     let planted = planted::plant(&copy, &faults);
