--- a/crates/core/tests/standby.rs
+++ b/crates/core/tests/standby.rs
@@ -181,6 +181,8 @@
     let voters: BTreeMap<_, _> = [1, 2].map(|node| (NodeId(node), format!("n{node}"))).into();
     let free_at = |pools: &mut SharePools, now: Micros| {
         let pool = pools.pool(ROLE, 7, RATE, now).expect("it holds the lease");
+        // A share that became free since the last refill brings nothing for the time before.
+        pool.expire(RATE, now.saturating_sub(4 * SEC));
         pool.expire(RATE, now);
         let asked = share_request(0, 1, 99);
         pool.request((NodeId(9), 1), now, &asked, RATE, 90, now).expect("a new request").loaned_units
