--- a/crates/core/src/quota/slices.rs
+++ b/crates/core/src/quota/slices.rs
@@ -57,9 +57,14 @@
         self.free + self.parked + self.returned < self.granted_total
     }
 
-    /// Takes one unit, where there is one that is still valid.
+    /// Takes one unit for a call that comes now.
     fn acquire_one(&mut self, now: Micros) -> AcquireOutcome {
         self.demanded += 1;
+        self.acquire_for_waiter(now)
+    }
+
+    /// Takes one unit, where there is one that is still valid, for a call that was counted when it came.
+    fn acquire_for_waiter(&mut self, now: Micros) -> AcquireOutcome {
         if now < self.valid_until && self.free > 0 {
             self.free -= 1;
             let low = self.free <= self.demand / 2 && now.saturating_sub(self.requested_at) > LOW_REQUEST_BACKOFF;
@@ -137,13 +142,12 @@
         self.slices.lock_shard(tenant).entry(tenant.to_owned()).or_default().acquire_one(now)
     }
 
-    /// As [`acquire_units`](Self::acquire_units), for a call that waited. In the demand for a rate it was counted when
-    /// it came; for a window each offer counts, so that the next slice is larger while calls wait.
+    /// As [`acquire_units`](Self::acquire_units), for a call that waited and was counted when it came.
     pub fn acquire_for_waiter(&self, tenant: &str, units: u32, now: Micros) -> AcquireOutcome {
         if let Some(outcome) = self.rates.acquire_for_waiter(tenant, units, now) {
             return outcome;
         }
-        self.slices.lock_shard(tenant).entry(tenant.to_owned()).or_default().acquire_one(now)
+        self.slices.lock_shard(tenant).entry(tenant.to_owned()).or_default().acquire_for_waiter(now)
     }
 
     /// Gives back the unit of a call that was rejected unrun, to its own window.
--- a/crates/core/tests/call/waiting.rs
+++ b/crates/core/tests/call/waiting.rs
@@ -266,6 +266,19 @@
     }
 }
 
+/// A call that waits is offered units again and again, which must not count as further demand.
+#[test]
+fn a_call_that_waits_counts_once_in_the_demand_for_a_window() {
+    let mut call = CallFixture::new("/chat", 1, 4, 0);
+    run("it waits", &mut call, vec![(Deliver(Event::Wake), "read body"), (DeliverBody, "request units")]);
+    let (first_wanted, ..) = call.shared.slices.demand("t", 1, call.now);
+    for _ in 0..20 {
+        assert!(call.shared.serve_quota_queue("t", call.now).is_empty());
+    }
+    let (wanted, ..) = call.shared.slices.demand("t", 1, call.now);
+    assert_eq!(wanted, first_wanted);
+}
+
 /// Calls that come while others have waited for the lease holder for a second are queued as well, however little
 /// time they have: its successor may answer at any moment.
 #[test]
