Count attempts by pool and by how the attempt before failed, and log retries

Change: AttemptCounters (first attempts, retries by failure point, retries over budget, each by pool), metrics and one log line a second while calls are retried.

--- a/crates/core/src/call/context.rs
+++ b/crates/core/src/call/context.rs
@@ -14,7 +14,7 @@
 use crate::placement::{EngineModels, WorkerLoads};
 use crate::queue::FairQueue;
 use crate::quota::TenantQuotas;
-use crate::retry::RetryBudget;
+use crate::retry::{AttemptCounters, RetryBudget};
 use std::sync::Arc;
 
 /// The maximum age of a confirmed view at a ready node, in microseconds. With an older view the node still
@@ -36,6 +36,8 @@
     pub caches: Caches,
     /// The retry budget.
     pub retry_budget: RetryBudget,
+    /// The attempts that were sent, by pool.
+    pub attempt_counters: AttemptCounters,
     /// The counters of the data plane.
     pub counters: DataPlaneCounters,
     /// The number of calls that ended with a local response, by reason.
@@ -82,6 +84,7 @@
             engines: EngineModels::default(),
             caches: Caches::default(),
             retry_budget: RetryBudget::default(),
+            attempt_counters: AttemptCounters::default(),
             counters: DataPlaneCounters::default(),
             rejections: RejectionCounters::default(),
             time_to_first_byte: LatencyHistogram::default(),
--- a/crates/core/src/call/steps/failover.rs
+++ b/crates/core/src/call/steps/failover.rs
@@ -91,9 +91,22 @@
     let is_budget_exempt = point == FailurePoint::Connect
         && route.matched.latency_target > 0
         && attempts.excluded.len() < MAX_EXEMPT_EXCLUSIONS;
-    decide(point, route.matched.idempotent, false, || {
-        is_budget_exempt || allows_uncertain_retry && has_attempts_left && context.shared.retry_budget.withdraw()
-    })
+    let decision = decide(point, route.matched.idempotent, false, || {
+        is_budget_exempt || allows_uncertain_retry && has_attempts_left && withdraw_retry(&route.pool, context)
+    });
+    if decision == RetryDecision::Retry {
+        context.shared.attempt_counters.record_retry(&route.pool, point);
+    }
+    decision
+}
+
+/// Pays for a retry; returns false if the retry budget does not allow it.
+fn withdraw_retry(pool: &str, context: &StepContext) -> bool {
+    let is_paid = context.shared.retry_budget.withdraw();
+    if !is_paid {
+        context.shared.attempt_counters.record_over_budget(pool);
+    }
+    is_paid
 }
 
 /// Counts an attempt unless it is a resend. The first attempt of each call makes a deposit into the
@@ -107,6 +120,7 @@
     if attempts.sent == 0 {
         context.shared.retry_budget.deposit();
         counters.attempts_first.increment();
+        context.shared.attempt_counters.record_first(&slot.pool);
     } else {
         counters.retries.increment();
     }
@@ -138,11 +152,12 @@
 ) -> StepResult<CallState> {
     let may_resume = can_resume(&call.state)
         && call.state.request.attempts.allow_another(&call.state.request.route, context.now)
-        && context.shared.retry_budget.withdraw();
+        && withdraw_retry(&call.state.request.route.pool, context);
     if !may_resume {
         context.shared.counters.retries_denied.increment();
         return end_without_slot(call, failure_response(FailurePoint::Body, false), context, effects);
     }
+    context.shared.attempt_counters.record_retry(&call.state.request.route.pool, FailurePoint::Body);
     call.state.slot_deadline = context.now + call.state.request.route.matched.queue_timeout;
     request_slot(call, context, effects)
 }
--- a/crates/core/src/retry/decision.rs
+++ b/crates/core/src/retry/decision.rs
@@ -37,6 +37,21 @@
 }
 
 impl FailurePoint {
+    /// All points, in the order in which an attempt reaches them.
+    pub const ALL: [FailurePoint; 4] =
+        [FailurePoint::Connect, FailurePoint::Sent, FailurePoint::Declined, FailurePoint::Body];
+
+    /// Returns the name in metrics and in the log.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            FailurePoint::Connect => "connect",
+            FailurePoint::Sent => "sent",
+            FailurePoint::Declined => "declined",
+            FailurePoint::Body => "body",
+        }
+    }
+
     /// Returns what the failure proves about the execution of the call.
     #[must_use]
     pub fn execution(self) -> Execution {
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -1,7 +1,9 @@
-//! Retries of a call at other workers: the conditions for a retry and the retry budget.
+//! Retries of a call at other workers: the conditions for a retry, the retry budget and the counters of attempts.
 
+mod attempt_counters;
 mod budget;
 mod decision;
 
+pub use attempt_counters::{AttemptCounters, PoolAttempts, RetryLog};
 pub use budget::RetryBudget;
 pub use decision::{Execution, FailurePoint, RetryDecision, decide};
--- a/crates/node/src/admin/metrics.rs
+++ b/crates/node/src/admin/metrics.rs
@@ -5,6 +5,7 @@
 use std::fmt::Write;
 use std::sync::atomic::Ordering;
 use sumacvale_core::call::{BUCKET_BOUNDS, COUNTER_HELP_TEXTS, LatencyHistogram, RejectionCounters, RejectionReason};
+use sumacvale_core::retry::{AttemptCounters, FailurePoint};
 use viz::{Response, StatusCode};
 
 /// Returns all metrics of this node.
@@ -64,6 +65,7 @@
     write_metric("body_bytes", "gauge", shared.call_state.body_budget.used() as u64, "Bytes of bodies held at once.");
     write_metric("leases_held", "gauge", view.held_leases.len() as u64, "Leases held by this node.");
     write_rejections(&mut output, &shared.call_state.rejections);
+    write_attempts(&mut output, &shared.call_state.attempt_counters);
     let _ = writeln!(
         output,
         "# HELP sumacvale_share_ppm Share of a tenant's rate held here.\n# TYPE sumacvale_share_ppm gauge"
@@ -104,6 +106,27 @@
     }
 }
 
+/// Writes the attempts of each pool: first attempts, retries by what preceded them, and retries over the budget.
+fn write_attempts(output: &mut String, counters: &AttemptCounters) {
+    let counts = counters.list();
+    let mut write_series = |name: &str, help: &str, rows: Vec<(String, u64)>| {
+        let _ = writeln!(output, "# HELP sumacvale_{name} {help}\n# TYPE sumacvale_{name} counter");
+        for (labels, count) in rows {
+            let _ = writeln!(output, "sumacvale_{name}{{{labels}}} {count}");
+        }
+    };
+    let first = counts.iter().map(|(pool, attempts)| (format!("pool={}", quote(pool)), attempts.first));
+    write_series("pool_attempts_first_total", "First attempts sent to workers of a pool.", first.collect());
+    let retries = counts.iter().flat_map(|(pool, attempts)| {
+        let row =
+            |(point, count): (&FailurePoint, u64)| (format!("pool={},after=\"{}\"", quote(pool), point.name()), count);
+        FailurePoint::ALL.iter().zip(attempts.retries).map(row).collect::<Vec<_>>()
+    });
+    write_series("pool_retries_total", "Retries at a pool, by how the attempt before failed.", retries.collect());
+    let denied = counts.iter().map(|(pool, attempts)| (format!("pool={}", quote(pool)), attempts.over_budget));
+    write_series("pool_retries_over_budget_total", "Retries that the budget did not allow.", denied.collect());
+}
+
 /// Writes one histogram, with a series for each kind of traffic.
 fn write_histogram(output: &mut String, name: &str, help: &str, histogram: &LatencyHistogram) {
     let seconds = |micros: u64| format!("{}.{:06}", micros / 1_000_000, micros % 1_000_000);
--- a/crates/node/src/control/effects.rs
+++ b/crates/node/src/control/effects.rs
@@ -82,4 +82,11 @@
         let (workers, version) = (view.workers.len(), view.version);
         tracing::warn!(%counts, ?version, ?stamp_age_ms, workers, "calls were rejected");
     }
+
+    /// Logs once a second, while calls are retried, the attempts of each pool.
+    pub(super) fn log_retries(&mut self) {
+        if let Some(counts) = self.retry_log.poll_line(&self.shared.call_state.attempt_counters, clock::now()) {
+            tracing::info!(%counts, "calls were retried");
+        }
+    }
 }
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -40,6 +40,7 @@
 use sumacvale_core::call::RejectionLog;
 use sumacvale_core::node::{Event, Node};
 use sumacvale_core::protocol::{ChangeOutcome, Frame};
+use sumacvale_core::retry::RetryLog;
 use tokio::net::TcpListener;
 use tokio::sync::{mpsc, oneshot};
 use view_log::ViewLog;
@@ -60,6 +61,7 @@
     pending: PendingReplies,
     view_log: ViewLog,
     rejection_log: RejectionLog,
+    retry_log: RetryLog,
 }
 
 /// Senders of the replies that the node still owes, by request id.
@@ -116,6 +118,7 @@
             pending: PendingReplies::default(),
             view_log: ViewLog::default(),
             rejection_log: RejectionLog::default(),
+            retry_log: RetryLog::default(),
         }
     }
 
@@ -176,6 +179,7 @@
     /// Runs the periodic work that follows each tick.
     fn after_tick(&mut self) {
         self.log_rejections();
+        self.log_retries();
         for (tenant, waiting) in self.shared.expire_waiters() {
             self.step(Event::QuotaNeeded { tenant, waiting });
         }
