Reproduce retries beyond the fleet's allowance, with a judge of arrivals at workers

The judge counts what rule BUDGET counts: arrivals beyond the first of each request, for each service, over all processes, in every window.

--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -6,5 +6,6 @@
 pub mod fleet;
 pub mod hollow;
 pub mod lookups;
+pub mod retry_allowance;
 pub mod sim;
 pub mod standin;
