Keep the retry budget of each pool in every window, so that it holds for the whole fleet

Cause: each process stored up to ten retries, for all pools together. Class: a limit of the whole fleet kept as a local balance, with an error that grows with the number of processes. Change: a process allows a retry at a pool only if in every window the retry falls in, its retries are at most ratio * (3/4 of its first attempts in the window before + 1/4 of those in the window). A permit that was not used within 0.5 s is renewed or lost, so that a process that stood still sends no retry of an earlier window. Ratio and window come from settings, on the platform from bounds. A request that was not written on a new connection is the same attempt when it is sent again.

--- a/crates/core/src/call/state.rs
+++ b/crates/core/src/call/state.rs
@@ -148,6 +148,8 @@
     /// True if the last attempt was not written to its connection, so that sending the request again
     /// is the same attempt.
     pub is_resend: bool,
+    /// The time at which the retry budget permitted the next retry, in microseconds; `None` without an unsent permit.
+    pub permitted_at: Option<Micros>,
     /// Whether a worker ran the call, as far as is known.
     pub execution: Execution,
     /// True if the quota unit is consumed, since a worker may have run the call.
@@ -162,6 +164,7 @@
             declined: Vec::new(),
             sent: 0,
             is_resend: false,
+            permitted_at: None,
             execution: Execution::NotRun,
             is_unit_consumed: false,
         }
--- a/crates/core/src/call/steps/attempt.rs
+++ b/crates/core/src/call/steps/attempt.rs
@@ -3,7 +3,7 @@
 use super::acquire_slot::{end_without_slot, request_slot};
 use super::acquire_unit::{replace_unit, request_unit, units_in_force};
 use super::authorization::reauthorize;
-use super::failover::{FailedAttempt, count_attempt, fail_over, failure_response};
+use super::failover::{FailedAttempt, count_attempt, fail_over, failure_response, permit_retry};
 use super::response_stream::{is_successful_event_stream, resume_stream, start_stream};
 use crate::call::context::StepContext;
 use crate::call::io::{Effect, Effects, Event, ResponseHead};
@@ -11,9 +11,9 @@
 use crate::call::progress::{CONNECT_TIMEOUT, StepResult};
 use crate::call::rejections::RejectionReason;
 use crate::call::release::disconnect;
-use crate::call::state::{AwaitingHead, Call, CallState, Connecting, QuotaGranted};
+use crate::call::state::{Attempts, AwaitingHead, BodyRead, Call, CallState, Connecting, QuotaGranted};
 use crate::config::QuotaLimit;
-use crate::retry::{Execution, FailurePoint};
+use crate::retry::{Execution, FailurePoint, PERMIT_VALIDITY};
 use std::ops::ControlFlow;
 
 /// Steps a call whose connection to a worker is being opened.
@@ -54,6 +54,12 @@
         disconnect(&call.state.slot, context, effects);
         return request_slot(call.map_state(|connecting| connecting.granted), context, effects);
     }
+    if !has_retry_permit(&mut call.state.granted, context) {
+        disconnect(&call.state.slot, context, effects);
+        let call = call.map_state(|connecting| connecting.granted);
+        let response = expired_permit_response(&call.state.request.attempts);
+        return end_without_slot(call, response, context, effects);
+    }
     match renew_unit(&mut call, context) {
         UnitRenewal::Valid => send_request(call, context, effects),
         UnitRenewal::Expired => {
@@ -68,6 +74,29 @@
     }
 }
 
+/// Whether the attempt may be sent as far as the retry budget is concerned: it is the first one, or a retry whose permit
+/// is valid or could be renewed. A retry that waited for long, or whose process stood still, would else arrive in a
+/// window in which it was not counted.
+fn has_retry_permit(granted: &mut QuotaGranted, context: &StepContext) -> bool {
+    let BodyRead { attempts, route, .. } = &mut granted.request;
+    let is_retry = attempts.sent > u32::from(attempts.is_resend);
+    if !is_retry || attempts.permitted_at.is_some_and(|permitted_at| context.now <= permitted_at + PERMIT_VALIDITY) {
+        return true;
+    }
+    if let Some(permitted_at) = attempts.permitted_at.take() {
+        context.shared.retry_budget.refund(&route.pool, permitted_at);
+    }
+    permit_retry(attempts, &route.pool, context)
+}
+
+/// Creates the response to a call whose retry was permitted too long ago.
+fn expired_permit_response(attempts: &Attempts) -> LocalResponse {
+    match attempts.execution {
+        Execution::NotRun => failure_response(FailurePoint::Declined, false),
+        Execution::Ran | Execution::Unknown => failure_response(FailurePoint::Sent, true),
+    }
+}
+
 /// The state of the quota unit of an attempt that is about to be sent.
 enum UnitRenewal {
     /// The unit is valid, or was replaced by a unit of the current window.
@@ -106,7 +135,8 @@
 }
 
 fn send_request(mut call: Call<Connecting>, context: &mut StepContext, effects: &mut Effects) -> StepResult<CallState> {
-    count_attempt(&mut call.state.granted, &call.state.slot, context);
+    let received_at = call.received_at;
+    count_attempt(&mut call.state.granted, &call.state.slot, received_at, context);
     let granted = &call.state.granted;
     effects.push(Effect::SendRequest {
         last_event_id: last_event_id(&call),
@@ -246,7 +276,7 @@
         && matched.latency_target > 0
         && matched.idempotent
         && granted.request.attempts.sent < matched.max_attempts
-        && context.shared.retry_budget.allows_retry()
+        && context.shared.retry_budget.allows_retry(&granted.request.route.pool, context.now)
 }
 
 /// Continues the stream with the response of the worker that resumes it, or ends the call if that
--- a/crates/core/src/call/steps/failover.rs
+++ b/crates/core/src/call/steps/failover.rs
@@ -2,7 +2,7 @@
 //! the retry budget allows it, or the end of the call.
 
 use super::acquire_slot::{end_without_slot, request_slot};
-use crate::base::SEC;
+use crate::base::{Micros, SEC};
 use crate::call::context::StepContext;
 use crate::call::holdings::ReservedSlot;
 use crate::call::io::Effects;
@@ -10,7 +10,7 @@
 use crate::call::progress::StepResult;
 use crate::call::rejections::RejectionReason;
 use crate::call::release::release_slot;
-use crate::call::state::{AwaitingHead, Call, CallState, Connecting, QuotaGranted};
+use crate::call::state::{Attempts, AwaitingHead, BodyRead, Call, CallState, Connecting, QuotaGranted};
 use crate::placement::CallOutcome;
 use crate::retry::{Execution, FailurePoint, RetryDecision, decide};
 use crate::stream::EventSplitter;
@@ -37,7 +37,11 @@
 
     /// Creates the state of an attempt that failed after the request was sent.
     pub(super) fn awaiting_head(call: Call<AwaitingHead>, point: FailurePoint) -> Call<Self> {
-        call.map_state(|AwaitingHead { granted, slot, .. }| FailedAttempt { granted, slot, point, is_timeout: false })
+        call.map_state(|AwaitingHead { mut granted, slot, .. }| {
+            // Nothing was written, so the next request that is sent is the same attempt.
+            granted.request.attempts.is_resend |= point == FailurePoint::Connect;
+            FailedAttempt { granted, slot, point, is_timeout: false }
+        })
     }
 
     /// Creates the state of an attempt whose head did not arrive before the deadline.
@@ -54,16 +58,17 @@
     effects: &mut Effects,
 ) -> StepResult<CallState> {
     let FailedAttempt { point, is_timeout, .. } = call.state;
-    record_failure(&mut call.state, context, effects);
-    let call = call.map_state(|attempt| attempt.granted);
-    if decide_retry(&call.state, point, context) == RetryDecision::Retry {
+    let received_at = call.received_at;
+    record_failure(&mut call.state, received_at, context, effects);
+    let mut call = call.map_state(|attempt| attempt.granted);
+    if decide_retry(&mut call.state, point, context) == RetryDecision::Retry {
         return request_slot(call, context, effects);
     }
     context.shared.counters.retries_denied.increment();
     end_without_slot(call, failure_response(point, is_timeout), context, effects)
 }
 
-fn record_failure(attempt: &mut FailedAttempt, context: &mut StepContext, effects: &mut Effects) {
+fn record_failure(attempt: &mut FailedAttempt, received_at: Micros, context: &mut StepContext, effects: &mut Effects) {
     let FailedAttempt { granted, slot, point, .. } = attempt;
     let outcome = if *point == FailurePoint::Declined { CallOutcome::Declined } else { CallOutcome::Failed };
     let worker_id = &slot.endpoint.worker_id;
@@ -77,13 +82,13 @@
         granted.request.attempts.execution = Execution::Unknown;
     }
     if *point == FailurePoint::Connect && granted.request.route.matched.latency_target == 0 {
-        count_attempt(granted, slot, context);
+        count_attempt(granted, slot, received_at, context);
     }
     granted.request.attempts.excluded.push(worker_id.clone());
 }
 
-fn decide_retry(granted: &QuotaGranted, point: FailurePoint, context: &StepContext) -> RetryDecision {
-    let (route, attempts) = (&granted.request.route, &granted.request.attempts);
+fn decide_retry(granted: &mut QuotaGranted, point: FailurePoint, context: &StepContext) -> RetryDecision {
+    let (route, attempts) = (&granted.request.route, &mut granted.request.attempts);
     // A call that may have run is retried once; a call that did not run, as often as the budget allows.
     let allows_uncertain_retry = point != FailurePoint::Sent || attempts.excluded.len() == 1;
     let has_attempts_left = attempts.allow_another(route, context.now);
@@ -92,7 +97,7 @@
         && route.matched.latency_target > 0
         && attempts.excluded.len() < MAX_EXEMPT_EXCLUSIONS;
     let decision = decide(point, route.matched.idempotent, false, || {
-        is_budget_exempt || allows_uncertain_retry && has_attempts_left && withdraw_retry(&route.pool, context)
+        is_budget_exempt || allows_uncertain_retry && has_attempts_left && permit_retry(attempts, &route.pool, context)
     });
     if decision == RetryDecision::Retry {
         context.shared.attempt_counters.record_retry(&route.pool, point);
@@ -100,25 +105,32 @@
     decision
 }
 
-/// Pays for a retry; returns false if the retry budget does not allow it.
-fn withdraw_retry(pool: &str, context: &StepContext) -> bool {
-    let is_paid = context.shared.retry_budget.withdraw();
-    if !is_paid {
+/// Withdraws a retry from the retry budget, which must then be sent soon; returns false if the budget does not allow
+/// it.
+pub(super) fn permit_retry(attempts: &mut Attempts, pool: &str, context: &StepContext) -> bool {
+    let is_permitted = context.shared.retry_budget.withdraw(pool, context.now);
+    if is_permitted {
+        attempts.permitted_at = Some(context.now);
+    } else {
         context.shared.attempt_counters.record_over_budget(pool);
     }
-    is_paid
+    is_permitted
 }
 
-/// Counts an attempt unless it is a resend. The first attempt of each call makes a deposit into the
-/// retry budget.
-pub(super) fn count_attempt(granted: &mut QuotaGranted, slot: &ReservedSlot, context: &StepContext) {
+/// Counts an attempt unless it is a resend. First attempts raise the number of retries that the budget allows.
+pub(super) fn count_attempt(
+    granted: &mut QuotaGranted,
+    slot: &ReservedSlot,
+    received_at: Micros,
+    context: &StepContext,
+) {
     let attempts = &mut granted.request.attempts;
     if std::mem::take(&mut attempts.is_resend) {
         return;
     }
     let counters = &context.shared.counters;
     if attempts.sent == 0 {
-        context.shared.retry_budget.deposit();
+        context.shared.retry_budget.record_first_attempt(&slot.pool, received_at);
         counters.attempts_first.increment();
         context.shared.attempt_counters.record_first(&slot.pool);
     } else {
@@ -150,9 +162,10 @@
     context: &mut StepContext,
     effects: &mut Effects,
 ) -> StepResult<CallState> {
-    let may_resume = can_resume(&call.state)
-        && call.state.request.attempts.allow_another(&call.state.request.route, context.now)
-        && withdraw_retry(&call.state.request.route.pool, context);
+    let can_resume = can_resume(&call.state);
+    let BodyRead { attempts, route, .. } = &mut call.state.request;
+    let may_resume =
+        can_resume && attempts.allow_another(route, context.now) && permit_retry(attempts, &route.pool, context);
     if !may_resume {
         context.shared.counters.retries_denied.increment();
         return end_without_slot(call, failure_response(FailurePoint::Body, false), context, effects);
--- a/crates/core/src/retry/mod.rs
+++ b/crates/core/src/retry/mod.rs
@@ -5,5 +5,5 @@
 mod decision;
 
 pub use attempt_counters::{AttemptCounters, PoolAttempts, RetryLog};
-pub use budget::RetryBudget;
+pub use budget::{MIN_WINDOW, PERMIT_VALIDITY, RetryBudget, RetryLimits};
 pub use decision::{Execution, FailurePoint, RetryDecision, decide};
--- a/crates/core/tests/call/attempts.rs
+++ b/crates/core/tests/call/attempts.rs
@@ -481,6 +481,25 @@
     assert_eq!((call.shared.counters.attempts_first.get(), call.shared.counters.retries.get()), (1, 0));
 }
 
+#[test]
+fn a_retry_that_was_held_up_is_not_sent_beyond_the_budget_of_its_time() {
+    for (held_up, expected) in
+        [(400 * MS, "send window 1"), (600 * MS, "send window 1"), (25 * SEC, "close, 503 worker_full no")]
+    {
+        let mut call = CallFixture::new("/chat", 2, 4, 9);
+        let steps = vec![
+            (FundRetry, ""),
+            (declined_head(503), "close, connect elsewhere"),
+            (Advance(held_up), ""),
+            (GrantUnits(1), ""),
+            (Deliver(Event::Connected), expected),
+            (Deliver(Event::ClientDisconnected), ""),
+        ];
+        run("held up", &mut call, after_send(steps));
+        assert!(!call.shared.retry_budget.allows_retry("p", call.now), "{held_up}: one retry is counted once");
+    }
+}
+
 /// Sends a new report of each worker, which makes declined workers available again, and serves the queues.
 fn report_all_workers(call: &mut CallFixture) -> String {
     call.update_view(|view| {
--- a/crates/core/tests/call/fixture.rs
+++ b/crates/core/tests/call/fixture.rs
@@ -192,9 +192,9 @@
         }
     }
 
-    /// Adds one retry to the retry budget.
+    /// Adds the first attempts of other calls that allow one retry.
     pub fn fund_retry(&mut self) {
-        (0..5).for_each(|_| self.shared.retry_budget.deposit());
+        (0..20).for_each(|_| self.shared.retry_budget.record_first_attempt("p", self.now));
     }
 
     fn with_context<T>(&mut self, run: impl FnOnce(&mut CallMachine, &mut StepContext) -> T) -> T {
--- a/crates/core/tests/machines.rs
+++ b/crates/core/tests/machines.rs
@@ -240,15 +240,32 @@
 }
 
 #[test]
-fn retries_are_a_fifth_of_first_attempts_from_the_start() {
+fn retries_are_at_most_a_fifth_of_first_attempts_and_near_it_once_a_window_has_passed() {
     let budget = RetryBudget::default();
-    assert!(!budget.withdraw(), "no initial budget");
-    let mut retries = 0;
-    for _ in 0..1_000 {
-        budget.deposit();
-        retries += u64::from(budget.withdraw());
+    assert!(!budget.withdraw("p", SEC), "no initial budget");
+    let (mut retries, mut early_retries) = (0, 0);
+    for attempt in 1..=2_000u64 {
+        let now = SEC + attempt * 50 * MS;
+        budget.record_first_attempt("p", now);
+        while budget.withdraw("p", now) {
+            retries += 1;
+        }
+        assert!(retries * 5 <= attempt, "{retries} retries for {attempt} first attempts");
+        early_retries = if attempt == 200 { retries } else { early_retries };
+    }
+    assert_eq!(early_retries, 10, "a quarter of a fifth in the first window");
+    assert!(retries >= 300, "{retries} retries");
+}
+
+#[test]
+fn saved_up_retries_and_first_attempts_for_other_pools_pay_for_nothing() {
+    let budget = RetryBudget::default();
+    for attempt in 0..1_000 {
+        budget.record_first_attempt("p", SEC + attempt * MS);
     }
-    assert_eq!(retries, 200);
+    assert!(!budget.allows_retry("other", 2 * SEC));
+    assert!(budget.allows_retry("p", 2 * SEC));
+    assert!(!budget.allows_retry("p", 22 * SEC), "no request of the last two windows");
 }
 
 #[test]
--- a/crates/core/tests/self_recovery.rs
+++ b/crates/core/tests/self_recovery.rs
@@ -125,11 +125,14 @@
 #[test]
 fn a_spent_retry_budget_is_refilled_by_first_attempts_which_need_none() {
     let budget = RetryBudget::default();
-    assert!(!budget.withdraw());
-    for _ in 0..5 {
-        budget.deposit();
+    assert!(!budget.withdraw("p", SEC));
+    for round in 1..5 {
+        let now = round * 30 * SEC;
+        for _ in 0..20 {
+            budget.record_first_attempt("p", now);
+        }
+        assert!(budget.withdraw("p", now) && !budget.withdraw("p", now));
     }
-    assert!(budget.withdraw() && !budget.withdraw());
 }
 
 /// A node without replies must not back off so far that it misses the return of the lease holder.
--- a/crates/node/src/run/bootstrap.rs
+++ b/crates/node/src/run/bootstrap.rs
@@ -15,6 +15,7 @@
 use sumacvale_core::consensus::DurableState;
 use sumacvale_core::node::{Node, NodeSettings};
 use sumacvale_core::placement::EngineModels;
+use sumacvale_core::retry::RetryBudget;
 use tokio::net::TcpListener;
 use tokio::runtime::Runtime;
 use tokio::sync::mpsc;
@@ -163,6 +164,7 @@
         node.quota.slices.clone(),
     );
     call_state.engines = EngineModels::new(seed);
+    call_state.retry_budget = RetryBudget::new(settings.retry_limits);
     Shared {
         node_id: node_id.to_string(),
         view: arc_swap::ArcSwap::default(),
--- a/crates/node/src/settings/read.rs
+++ b/crates/node/src/settings/read.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use sumacvale_core::base::{MS, Micros};
 use sumacvale_core::config::check::check_syntax_with_limit;
+use sumacvale_core::retry::{MIN_WINDOW, RetryLimits};
 
 /// The settings of this node, all checked before any file or listener is opened.
 #[derive(Clone, Debug)]
@@ -49,6 +50,9 @@
     pub max_connections: usize,
     /// Maximum size of all buffered bodies together in bytes (`bodies_mib`, in MiB); 256 MiB by default.
     pub max_body_bytes: usize,
+    /// Limits of the retries of the whole fleet at each pool (`retry_percent` of the requests for it, 20 by default, in
+    /// each `retry_window_ms`, 10 s by default); the same at all nodes.
+    pub retry_limits: RetryLimits,
 }
 
 impl Default for Settings {
@@ -72,6 +76,7 @@
             max_queued_calls: 256,
             max_connections: 2_048,
             max_body_bytes: 256 << 20,
+            retry_limits: RetryLimits::default(),
         }
     }
 }
@@ -196,7 +201,7 @@
 }
 
 /// Names of all settings of the file.
-const KNOWN: [&str; 17] = [
+const KNOWN: [&str; 19] = [
     "peer",
     "admin",
     "downstream",
@@ -214,6 +219,8 @@
     "waitlist",
     "connections",
     "bodies_mib",
+    "retry_percent",
+    "retry_window_ms",
 ];
 
 /// Reads single settings and collects the errors.
@@ -345,29 +352,7 @@
 /// All errors that were found, so that an operator can correct them at once.
 pub fn read(text: Option<&str>, overrides: &SettingsOverrides) -> Result<Settings, Vec<SettingsError>> {
     let mut errors = Vec::new();
-    let mut file = None;
-    if let Some(text) = text {
-        let syntax_errors = check_syntax_with_limit(text, 1 << 20);
-        if syntax_errors.is_empty() {
-            file = sonic_rs::from_str::<Value>(text).ok();
-        }
-        errors.extend(syntax_errors.iter().map(|error| SettingsError::InvalidFile(error.to_string())));
-        if let Some(object) = file.as_ref() {
-            match object.as_object() {
-                None => {
-                    errors.push(SettingsError::InvalidFile("it is no object; write one JSON object".into()));
-                    file = None;
-                }
-                Some(object) => {
-                    for (name, _) in object {
-                        if !KNOWN.contains(&name) {
-                            errors.push(SettingsError::Unknown { key: format!("/{name}"), known: KNOWN.join(", ") });
-                        }
-                    }
-                }
-            }
-        }
-    }
+    let file = text.and_then(|text| parse_file(text, &mut errors));
     let mut reader = SettingsReader { file, errors: &mut errors };
     let peer = reader.addr("peer", overrides.peer.as_ref());
     let admin = reader.addr("admin", overrides.admin.as_ref());
@@ -407,6 +392,7 @@
     let max_queued_calls = usize::try_from(reader.number("waitlist", 1, 100_000, 256)).unwrap_or(256);
     let max_body_bytes = usize::try_from(reader.number("bodies_mib", 1, 65_536, 256)).unwrap_or(256) << 20;
     let max_connections = usize::try_from(reader.number("connections", 1, 1_000_000, 4_096)).unwrap_or(4_096);
+    let retry_limits = read_retry_limits(&mut reader);
     if let (Some(peer), Some(admin), Some(downstream)) = (peer, admin, downstream) {
         errors.extend(shared_addresses(peer, admin, downstream));
     }
@@ -441,11 +427,36 @@
             max_queued_calls,
             max_connections,
             max_body_bytes,
+            retry_limits,
         }),
         _ => Err(errors),
     }
 }
 
+/// Parses the settings file, and records an error for each setting that is unknown; returns `None` without an object.
+fn parse_file(text: &str, errors: &mut Vec<SettingsError>) -> Option<Value> {
+    let syntax_errors = check_syntax_with_limit(text, 1 << 20);
+    errors.extend(syntax_errors.iter().map(|error| SettingsError::InvalidFile(error.to_string())));
+    let file = syntax_errors.is_empty().then(|| sonic_rs::from_str::<Value>(text).ok()).flatten()?;
+    let Some(object) = file.as_object() else {
+        errors.push(SettingsError::InvalidFile("it is no object; write one JSON object".into()));
+        return None;
+    };
+    for (name, _) in object {
+        if !KNOWN.contains(&name) {
+            errors.push(SettingsError::Unknown { key: format!("/{name}"), known: KNOWN.join(", ") });
+        }
+    }
+    Some(file)
+}
+
+/// Reads the retry limits.
+fn read_retry_limits(reader: &mut SettingsReader) -> RetryLimits {
+    let percent = reader.number("retry_percent", 0, 100, 20) as u32;
+    let window_ms = reader.number("retry_window_ms", MIN_WINDOW / MS, 600_000, 10_000);
+    RetryLimits { ratio_milli: percent * 10, window: window_ms * MS }
+}
+
 /// Returns an error for each two listeners that have the same address.
 fn shared_addresses(peer: SocketAddr, admin: SocketAddr, downstream: SocketAddr) -> Vec<SettingsError> {
     let pairs = [
--- a/crates/node/tests/answers/front.rs
+++ b/crates/node/tests/answers/front.rs
@@ -148,8 +148,8 @@
 
     /// Fills the retry budget, so that every retry is allowed.
     pub fn fill_retry_budget(&self) {
-        for _ in 0..50 {
-            self.shared.call_state.retry_budget.deposit();
+        for _ in 0..1_000 {
+            self.shared.call_state.retry_budget.record_first_attempt("p", clock::now());
         }
     }
 
--- a/crates/testbed/tests/retry_budget.rs
+++ b/crates/testbed/tests/retry_budget.rs
@@ -39,12 +39,12 @@
         Process { budget: RetryBudget::default(), starts_at: 0, held_until: 0 }
     }
 
-    fn record_first_attempt(&self, _service: &str, _now: Micros) {
-        self.budget.deposit();
+    fn record_first_attempt(&self, service: &str, now: Micros) {
+        self.budget.record_first_attempt(service, now);
     }
 
-    fn withdraw(&self, _service: &str, _now: Micros) -> bool {
-        self.budget.withdraw()
+    fn withdraw(&self, service: &str, now: Micros) -> bool {
+        self.budget.withdraw(service, now)
     }
 }
 
