The simulator handles a slow machine's deferred events before later ones of the same moment

No connection reorders bytes. Cause: unfreeze gave deferred events new numbers, behind everything scheduled for the same moment before. Change: they keep their numbers.

--- a/crates/testbed/src/sim/machines/lifecycle.rs
+++ b/crates/testbed/src/sim/machines/lifecycle.rs
@@ -5,6 +5,7 @@
 use crate::sim::machines::disk::{Disk, RETRY_INTERVAL};
 use crate::sim::machines::slot::{Machine, SlowMode};
 use crate::sim::world::{TICK_INTERVAL, World};
+use std::cmp::Reverse;
 use sumacvale_core::base::{MS, Micros, NodeId, SEC};
 use sumacvale_core::call::SharedCallState;
 use sumacvale_core::node::{Node, NodeSettings};
@@ -174,11 +175,13 @@
         !machine.deferred_events.is_empty()
     }
 
-    /// Ends the freeze of a machine, and schedules its deferred events for now.
+    /// Ends the freeze of a machine, and schedules its deferred events for now. They keep their numbers, so that they
+    /// are handled before events of this moment that were scheduled after them.
     pub fn unfreeze(&mut self, index: usize) {
         self.machines[index].frozen_until = 0;
-        for event in std::mem::take(&mut self.machines[index].deferred_events) {
-            self.schedule(self.now, event);
+        for (number, event) in std::mem::take(&mut self.machines[index].deferred_events) {
+            self.pending_events.insert(number, event);
+            self.event_queue.push(Reverse((self.now, number, 0)));
         }
     }
 
--- a/crates/testbed/src/sim/machines/slot.rs
+++ b/crates/testbed/src/sim/machines/slot.rs
@@ -53,8 +53,9 @@
     pub frozen_until: Micros,
     /// The slow mode, while the machine is in one.
     pub slow_mode: Option<SlowMode>,
-    /// Events that arrived while the machine was frozen or between the running parts of slow periods, in order.
-    pub(in crate::sim) deferred_events: Vec<SimEvent>,
+    /// Events that arrived while the machine was frozen or between the running parts of slow periods, in order, each
+    /// with its number.
+    pub(in crate::sim) deferred_events: Vec<(u64, SimEvent)>,
     /// The version of the node that was reported to the safety checker last.
     pub last_version: Option<Version>,
     /// The data plane of the node process.
--- a/crates/testbed/src/sim/steps.rs
+++ b/crates/testbed/src/sim/steps.rs
@@ -96,7 +96,9 @@
             self.now = self.now.max(due);
             let Some(event) = self.pending_events.remove(&number) else { continue };
             match event.machine() {
-                Some(machine) if self.must_wait(machine) => self.machines[machine].deferred_events.push(event),
+                Some(machine) if self.must_wait(machine) => {
+                    self.machines[machine].deferred_events.push((number, event))
+                }
                 _ => self.handle(event),
             }
         }
