Check the allowance of retries in every simulated run, by the arrivals at workers

Each run of the simulator records the clients' requests and what workers received, by pool, and reports each window in which the repeated arrivals of all fronts are over a fifth of the requests, with no slack.

--- a/crates/testbed/src/sim/calls/call_driver.rs
+++ b/crates/testbed/src/sim/calls/call_driver.rs
@@ -3,6 +3,7 @@
 use crate::sim::calls::call_registry::ActiveCall;
 use crate::sim::calls::outcome::{CallOutcome, CallRequest, ClientObservation};
 use crate::sim::event::SimEvent;
+use crate::sim::operators::documents::pool_of;
 use crate::sim::workers::worker::{AttemptOrigin, WorkerBehaviour, WorkerRequest};
 use crate::sim::world::World;
 use bytes::Bytes;
@@ -32,6 +33,7 @@
     pub fn call(&mut self, machine: usize, request: CallRequest) -> u64 {
         self.calls_started += 1;
         let call = self.calls_started;
+        self.retry_record.request_sent(pool_of(request.path), self.now);
         let head = RequestHead {
             method: "POST".into(),
             path: request.path.into(),
--- a/crates/testbed/src/sim/checks/calls.rs
+++ b/crates/testbed/src/sim/checks/calls.rs
@@ -1,6 +1,7 @@
 //! Checks of calls: the responses that clients saw against the executions of workers, and both against quotas and
 //! key revocations.
 
+use crate::retry_allowance::{RetryAllowance, RetryExcess, RetryRecord};
 use crate::sim::calls::outcome::{CallOutcome, ClientObservation};
 use crate::sim::checks::safety::{REVOCATION_DEADLINE, Violation, WORKER_REMOVAL_DEADLINE};
 use crate::sim::operators::documents::REVOCABLE_TENANT;
@@ -148,6 +149,14 @@
     }
 }
 
+/// Checks that in no window the workers of a pool got more repeated arrivals, from all nodes, than a fifth of its calls.
+pub fn check_retries(record: &RetryRecord) -> Vec<Violation> {
+    let describe = |RetryExcess { service, begin, repeats, allowed }| {
+        Violation(format!("{service} got {repeats} repeated arrivals from {begin} on, {allowed} are allowed"))
+    };
+    record.excesses(RetryAllowance::default()).into_iter().map(describe).collect()
+}
+
 /// The rate of each tenant in calls a second, which is also its burst size.
 pub type Rates = BTreeMap<String, u64>;
 
--- a/crates/testbed/src/sim/drive.rs
+++ b/crates/testbed/src/sim/drive.rs
@@ -1,6 +1,6 @@
 //! Drives one run from a seed: injects faults, heals them, then checks the recovery.
 
-use crate::sim::checks::calls::{CallLimits, Rates, check_calls, check_rates};
+use crate::sim::checks::calls::{CallLimits, Rates, check_calls, check_rates, check_retries};
 use crate::sim::checks::recovery::{RECOVERY_DEADLINE, check_nothing_held, check_recovery, time_until_serving};
 use crate::sim::checks::safety::Violation;
 use crate::sim::checks::summary::{ControlSummary, Summary};
@@ -213,6 +213,7 @@
         };
         world.safety.violations.extend(check_calls(&world.call_outcomes, &world.executions, &limits));
         world.safety.violations.extend(check_rates(&world.executions, &rates));
+        world.safety.violations.extend(check_retries(&world.retry_record));
         let serving_after = time_until_serving(world, self.end);
         let control = self.control.map(ControlSummary::of);
         Summary {
--- a/crates/testbed/src/sim/operators/documents.rs
+++ b/crates/testbed/src/sim/operators/documents.rs
@@ -34,6 +34,11 @@
     body.contains(&key_hash(REVOCABLE_TENANT))
 }
 
+/// The pool that a configuration routes the calls of this path to.
+pub fn pool_of(path: &str) -> &'static str {
+    if matches!(path, "/v1/confirm" | "/v1/book") { "app" } else { "llm" }
+}
+
 /// Makes a configuration; every eighth one has `extra_routes` more matches than the others.
 pub fn config_tree(number: u64, tenants: u64, extra_routes: u64, quotas_are_rates: bool) -> String {
     let mut tenant_entries: Vec<_> =
--- a/crates/testbed/src/sim/steps.rs
+++ b/crates/testbed/src/sim/steps.rs
@@ -97,7 +97,7 @@
             let Some(event) = self.pending_events.remove(&number) else { continue };
             match event.machine() {
                 Some(machine) if self.must_wait(machine) => {
-                    self.machines[machine].deferred_events.push((number, event))
+                    self.machines[machine].deferred_events.push((number, event));
                 }
                 _ => self.handle(event),
             }
--- a/crates/testbed/src/sim/workers/execution.rs
+++ b/crates/testbed/src/sim/workers/execution.rs
@@ -78,6 +78,9 @@
         if behaviour == WorkerBehaviour::Reset && request.origin.attempt % 2 == 1 {
             return self.respond(worker, request.origin, Event::NotSent);
         }
+        let pool = state.pool;
+        self.retry_record.request_arrived(pool, request.origin.call, self.now);
+        let state = &self.workers[worker];
         if behaviour == WorkerBehaviour::Reject || state.running.len() >= SLOTS as usize {
             let head = ResponseHead { status: 503, has_definite_end: true, not_run: true, ..ResponseHead::default() };
             return self.respond(worker, request.origin, Event::ResponseHead(head));
--- a/crates/testbed/src/sim/world.rs
+++ b/crates/testbed/src/sim/world.rs
@@ -1,5 +1,6 @@
 //! The state of a simulated world and its queue of scheduled events.
 
+use crate::retry_allowance::RetryRecord;
 use crate::sim::calls::outcome::CallOutcome;
 use crate::sim::checks::safety::SafetyChecker;
 use crate::sim::event::SimEvent;
@@ -78,6 +79,8 @@
     pub freezes: Vec<(usize, Micros, Micros)>,
     /// The numbers of first attempts and of retries, in processes that ended.
     pub attempts: (u64, u64),
+    /// The requests of clients and the arrivals at workers, by pool.
+    pub retry_record: RetryRecord,
     /// The number of streams resumed at another worker, in processes that ended.
     pub streams_resumed: u64,
     /// The number of slots reassigned, in processes that ended.
@@ -147,6 +150,7 @@
             may_bootstrap: true,
             freezes: Vec::new(),
             attempts: (0, 0),
+            retry_record: RetryRecord::default(),
             streams_resumed: 0,
             slots_reassigned: 0,
             report_interval: 500 * MS,
