--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod lookups;
 mod options;
 mod place;
+mod retry_soak;
 mod sim;
 
 use options::Arguments;
@@ -25,11 +26,14 @@
     let Some(arguments) = Arguments::parse(&arguments) else { return ExitCode::SUCCESS };
     let passed = match arguments.subcommand() {
         "fleet" => fleet::run(&arguments),
+        "retry-soak" => retry_soak::run(&arguments),
         "sim" => sim::run(&arguments),
         "place" => place::run(&arguments),
         "lookups" => lookups::run(),
         "bounds" => bounds::run(),
-        name => fail(&format!("unknown subcommand {name}: use fleet, sim, lookups, bounds, place or hollow")),
+        name => {
+            fail(&format!("unknown subcommand {name}: use fleet, retry-soak, sim, lookups, bounds, place or hollow"))
+        }
     };
     if passed { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FINDINGS) }
 }
--- a/crates/testbed/src/cli/options.rs
+++ b/crates/testbed/src/cli/options.rs
@@ -8,6 +8,7 @@
 
 Usage:
   testbed fleet [flags]   run processes of sumacvale on loopback, with traffic and faults
+  testbed retry-soak [flags]  soak the retry budget: processes, workers that fail, signals in series
   testbed sim [flags]     simulate the core in virtual time, from seeds
   testbed lookups         measure the cost of a lookup in the layered cache
   testbed bounds          compare how quota bounds admit and reject calls
@@ -80,7 +81,7 @@
         .optopt("", "seeds", "the number of seeds", "N")
         .optopt("", "profile", "sim: one fault profile only", "NAME")
         .optopt("", "scale", "the traffic in percent of the deployment's", "N")
-        .optopt("", "fronts", "sim, place: the number of fronts", "N")
+        .optopt("", "fronts", "retry-soak, sim, place: the number of fronts", "N")
         .optopt("", "quota", "sim: the form of quotas, window or rate", "FORM")
         .optopt("", "way", "place: one strategy only", "NAME")
         .optopt("", "near", "place: the weight of bytes between zones, in percent of the default", "N")
--- a/crates/testbed/src/fleet/spec.rs
+++ b/crates/testbed/src/fleet/spec.rs
@@ -17,6 +17,8 @@
     pub lookup_rate: u64,
     /// The number of calls to the model per second.
     pub model_rate: u64,
+    /// The repeated arrivals at a service that are allowed in ten seconds beside a fifth of its calls.
+    pub retry_slack: u64,
 }
 
 impl FleetSpec {
@@ -29,6 +31,7 @@
         tenants: 8,
         lookup_rate: 40,
         model_rate: 120,
+        retry_slack: 52,
     };
     /// The deployment derwent.
     pub const DERWENT: FleetSpec = FleetSpec {
@@ -39,6 +42,7 @@
         tenants: 8,
         lookup_rate: 25,
         model_rate: 60,
+        retry_slack: 58,
     };
     /// The smallest fleet for tests, which send their own calls.
     pub const SMALL: FleetSpec = FleetSpec {
@@ -49,6 +53,7 @@
         tenants: 2,
         lookup_rate: 0,
         model_rate: 0,
+        retry_slack: 52,
     };
 
     /// Returns the deployment with this name.
--- a/crates/testbed/src/standin/log.rs
+++ b/crates/testbed/src/standin/log.rs
@@ -28,22 +28,50 @@
     pub draining_since: Option<Instant>,
 }
 
-/// The runs of all calls. Only test workers write this log; the checks compare it with the records of
-/// clients. Clones share the runs.
+/// A request that a worker read, whether or not it ran the call.
+#[derive(Clone, Debug)]
+pub struct WorkerArrival {
+    /// The pool of the worker.
+    pub pool: String,
+    /// The id of the call, chosen by the client.
+    pub call_id: String,
+    /// The time at which the request was read.
+    pub at: Instant,
+}
+
+/// The runs of all calls, and all requests that workers read. Only test workers write this log; the checks compare it
+/// with the records of clients. Clones share the entries.
 #[derive(Clone, Debug, Default)]
-pub struct WorkerLog(Arc<Mutex<Vec<WorkerRun>>>);
+pub struct WorkerLog {
+    runs: Arc<Mutex<Vec<WorkerRun>>>,
+    arrivals: Arc<Mutex<Vec<WorkerArrival>>>,
+}
 
 impl WorkerLog {
     /// Adds a run.
     pub fn add(&self, run: WorkerRun) {
-        if let Ok(mut runs) = self.0.lock() {
+        if let Ok(mut runs) = self.runs.lock() {
             runs.push(run);
         }
     }
 
+    /// Adds a request that a worker of the pool reads now.
+    pub fn add_arrival(&self, pool: &str, call_id: &str) {
+        let arrival = WorkerArrival { pool: pool.to_owned(), call_id: call_id.to_owned(), at: Instant::now() };
+        if let Ok(mut arrivals) = self.arrivals.lock() {
+            arrivals.push(arrival);
+        }
+    }
+
+    /// Returns all requests that workers have read so far.
+    #[must_use]
+    pub fn arrivals(&self) -> Vec<WorkerArrival> {
+        self.arrivals.lock().map(|arrivals| arrivals.clone()).unwrap_or_default()
+    }
+
     /// Returns all runs so far.
     #[must_use]
     pub fn runs(&self) -> Vec<WorkerRun> {
-        self.0.lock().map(|runs| runs.clone()).unwrap_or_default()
+        self.runs.lock().map(|runs| runs.clone()).unwrap_or_default()
     }
 }
--- a/crates/testbed/src/standin/worker.rs
+++ b/crates/testbed/src/standin/worker.rs
@@ -34,6 +34,8 @@
     Truncate(u64),
     /// The worker runs calls and closes the connection without a response.
     NoResponse,
+    /// The worker rejects all calls with status 503 and states that they did not run.
+    Decline,
 }
 
 /// The static properties of a worker and the nodes that it reports to.
@@ -166,6 +168,12 @@
         self.0.addr
     }
 
+    /// Returns the name of the worker's pool.
+    #[must_use]
+    pub fn pool(&self) -> &str {
+        &self.0.spec.pool
+    }
+
     /// Changes the behaviour for all later calls.
     pub fn set_mode(&self, mode: WorkerMode) {
         if let Ok(mut current) = self.0.mode.lock() {
@@ -269,16 +277,17 @@
     async fn respond(self, request: Request<Incoming>) -> Result<Response<Body>, std::io::Error> {
         let call = CallRequest::read(&request);
         let body = request.into_body().collect().await.map_err(std::io::Error::other)?.to_bytes();
-        let Some(slot) = BusySlot::acquire(&self) else {
+        self.0.log.add_arrival(&self.0.spec.pool, &call.call_id);
+        let mode = self.0.mode.lock().map_or(WorkerMode::Healthy, |mode| *mode);
+        let Some(slot) = BusySlot::acquire(&self).filter(|_| mode != WorkerMode::Decline) else {
             return Ok(plain_response(StatusCode::SERVICE_UNAVAILABLE, &call.call_id, "no", "{\"busy\":true}".into()));
         };
         self.record_run(&call, &body);
-        let mode = self.0.mode.lock().map_or(WorkerMode::Healthy, |mode| *mode);
         let truncate_after = match mode {
             WorkerMode::Hang => std::future::pending().await,
             WorkerMode::NoResponse => return Err(std::io::Error::other("no response")),
             WorkerMode::Truncate(events) => Some(events),
-            WorkerMode::Healthy => None,
+            WorkerMode::Healthy | WorkerMode::Decline => None,
         };
         let plan = ResponsePlan::for_path(&call.path);
         tokio::time::sleep(plan.delay).await;
