--- a/crates/core/tests/call/attempts.rs
+++ b/crates/core/tests/call/attempts.rs
@@ -481,6 +481,18 @@
     assert_eq!((call.shared.counters.attempts_first.get(), call.shared.counters.retries.get()), (1, 0));
 }
 
+#[test]
+fn a_request_that_was_not_written_on_a_new_connection_is_no_retry() {
+    let mut call = CallFixture::with_latency_target("/one/x", "key", 0, 2);
+    let elsewhere = vec![
+        (Deliver(Event::AttemptFailed(FailurePoint::Connect)), "connect elsewhere"),
+        (Deliver(Event::Connected), "send window 1"),
+        (Deliver(Event::ClientDisconnected), ""),
+    ];
+    run("not written", &mut call, after_send(elsewhere));
+    assert_eq!((call.shared.counters.attempts_first.get(), call.shared.counters.retries.get()), (1, 0));
+}
+
 #[test]
 fn a_retry_that_was_held_up_is_not_sent_beyond_the_budget_of_its_time() {
     for (held_up, expected) in
