Count both windows of the retry budget by half, and let the slack pay for one retry of each process

Cause: a process that has just started had a quarter of a fifth of its requests, and no retry before it had twenty. Change: both windows count by half, and one more retry in a window at each process where the slack has room for two of every known node; the rest of the slack stays for late arrivals. Without a known fleet, or in one too large for the slack, the bound holds without it.

--- a/crates/core/src/retry/budget.rs
+++ b/crates/core/src/retry/budget.rs
@@ -2,14 +2,17 @@
 //! that retries can't multiply the load of a failing pool.
 //!
 //! Each process keeps its own budget and sends no message for it. In every window, of any position, it allows at most
-//! `ratio × (¾ × P + ¼ × C)` retries at a pool, where `C` counts its own first attempts in that window and `P` those
-//! in the window before. Summed over all processes, `¾ × P + ¼ × C` is at most the greater of the two counts of the
+//! `ratio × (P + C) / 2` retries at a pool, where `C` counts its own first attempts in that window and `P` those
+//! in the window before. Summed over all processes, `(P + C) / 2` is at most the greater of the two counts of the
 //! fleet. The bound therefore holds for any number of processes; a process that starts has no requests to count.
+//! A process allows one more retry if the slack has room for one of every process of the fleet and as many that
+//! replace them, so that a process with few requests can retry.
 //!
 //! Retries arrive after they were allowed, and requests are read after they were sent. Windows are counted as if each
 //! took up to [`MAX_DELAY`], and an allowed retry that isn't sent within [`PERMIT_VALIDITY`] must be allowed again.
 
 use crate::base::{MS, Micros, SEC, ShardedMap};
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// The number of time slots that a window is divided into.
 const WINDOW_SLOTS: usize = 40;
@@ -20,11 +23,11 @@
 /// The number of slots that are kept: the oldest window that a retry falls in, and the window before that one.
 const HISTORY_SLOTS: usize = 2 * WINDOW_SLOTS;
 
-/// The weight of the first attempts in the window before a window.
-const PREVIOUS_WEIGHT: u64 = 3;
+/// The number of windows over which first attempts are averaged: a window and the one before it.
+const AVERAGED_WINDOWS: u64 = 2;
 
-/// The weight of the first attempts in the window itself. It lets a process retry before it has run for a window.
-const CURRENT_WEIGHT: u64 = 1;
+/// The node count of a process that has no view of the fleet yet.
+const UNKNOWN_NODE_COUNT: usize = usize::MAX;
 
 /// The time within which an allowed retry must be sent, in microseconds.
 pub const PERMIT_VALIDITY: Micros = 500 * MS;
@@ -43,11 +46,13 @@
     pub ratio_milli: u32,
     /// The length of the windows in which retries and requests are counted, in microseconds; at least [`MIN_WINDOW`].
     pub window: Micros,
+    /// The number of retries allowed in a window beside those.
+    pub slack: u32,
 }
 
 impl Default for RetryLimits {
     fn default() -> Self {
-        RetryLimits { ratio_milli: 200, window: 10 * SEC }
+        RetryLimits { ratio_milli: 200, window: 10 * SEC, slack: 50 }
     }
 }
 
@@ -63,17 +68,36 @@
 }
 
 /// The first attempts and retries of this process at each pool, and the limits of retries.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
+    /// The number of nodes of the fleet, as far as this process knows.
+    node_count: AtomicUsize,
     pools: ShardedMap<PoolHistory>,
 }
 
+impl Default for RetryBudget {
+    fn default() -> Self {
+        RetryBudget::new(RetryLimits::default())
+    }
+}
+
 impl RetryBudget {
     /// Creates the budget of a process that has sent no attempt.
     #[must_use]
     pub fn new(limits: RetryLimits) -> Self {
-        RetryBudget { limits, pools: ShardedMap::default() }
+        RetryBudget { limits, node_count: UNKNOWN_NODE_COUNT.into(), pools: ShardedMap::default() }
+    }
+
+    /// Sets the number of nodes of the fleet, on which depends whether the slack has room for a retry of each.
+    pub fn set_node_count(&self, nodes: usize) {
+        self.node_count.store(nodes, Ordering::Relaxed);
+    }
+
+    /// Returns how many retries in a window the slack pays for at this process.
+    fn slack_share(&self) -> u64 {
+        let replaced_nodes = self.node_count.load(Ordering::Relaxed).saturating_mul(2);
+        u64::from(replaced_nodes <= self.limits.slack as usize)
     }
 
     /// Counts the first attempt of a request that was received at `received_at`.
@@ -86,7 +110,7 @@
     #[must_use]
     pub fn allows_retry(&self, pool: &str, now: Micros) -> bool {
         let slot = self.slot_at(now);
-        self.with_history(pool, |history| history.allows_retry(slot, self.limits))
+        self.with_history(pool, |history| history.allows_retry(slot, self.limits, self.slack_share()))
     }
 
     /// Counts a retry at the pool if it is allowed now; returns whether it is.
@@ -94,7 +118,7 @@
     pub fn withdraw(&self, pool: &str, now: Micros) -> bool {
         let slot = self.slot_at(now);
         self.with_history(pool, |history| {
-            let is_allowed = history.allows_retry(slot, self.limits);
+            let is_allowed = history.allows_retry(slot, self.limits, self.slack_share());
             if is_allowed {
                 history.record_retry();
             }
@@ -181,7 +205,7 @@
     }
 
     /// Returns whether one more retry is within the limit of every window that it falls in.
-    fn allows_retry(&mut self, slot: u64, limits: RetryLimits) -> bool {
+    fn allows_retry(&mut self, slot: u64, limits: RetryLimits, slack_share: u64) -> bool {
         self.advance_to(slot);
         let newer_first = self.first_attempts_newer_than();
         let delay = limits.delay_slots();
@@ -189,8 +213,10 @@
         // Retries that were allowed in the slot of age `begin` or later may all arrive in one window.
         for begin in 0..=WINDOW_SLOTS + delay {
             retries += u64::from(self.slot_of_age(begin).retries);
-            let allowed = u64::from(limits.ratio_milli) * weighted_first_attempts(&newer_first, begin, delay);
-            if retries * 1_000 * (PREVIOUS_WEIGHT + CURRENT_WEIGHT) > allowed {
+            // Requests that may have been sent before both windows, by their delay, don't count.
+            let first_attempts = newer_first[begin + WINDOW_SLOTS - 2 * delay];
+            let allowed_milli = u64::from(limits.ratio_milli) * first_attempts / AVERAGED_WINDOWS;
+            if retries * 1_000 > allowed_milli + slack_share * 1_000 {
                 return false;
             }
         }
@@ -206,12 +232,3 @@
         newer
     }
 }
-
-/// Returns the weighted first attempts of the window in which retries of the slot of age `begin` may arrive first, and
-/// of the window before it. Requests that their delay may put into either one have the lower weight, and those that
-/// may have been sent before both have none.
-fn weighted_first_attempts(newer_first: &[u64; HISTORY_SLOTS + 1], begin: usize, delay: usize) -> u64 {
-    let current = newer_first[(begin + 1).saturating_sub(delay)];
-    let since_previous = newer_first[begin + WINDOW_SLOTS - 2 * delay];
-    PREVIOUS_WEIGHT * (since_previous - current) + CURRENT_WEIGHT * current
-}
--- a/crates/node/src/control/effects.rs
+++ b/crates/node/src/control/effects.rs
@@ -60,6 +60,7 @@
         let previous_version = *self.receivers.published_version.borrow();
         let version = view.version;
         let workers_changed = self.view_log.record(&view);
+        self.shared.call_state.retry_budget.set_node_count(view.nodes.len());
         self.shared.view.store(view);
         if previous_version != version {
             tracing::info!(version = version, "a configuration version is in force");
--- a/crates/node/src/settings/read.rs
+++ b/crates/node/src/settings/read.rs
@@ -51,7 +51,7 @@
     /// Maximum size of all buffered bodies together in bytes (`bodies_mib`, in MiB); 256 MiB by default.
     pub max_body_bytes: usize,
     /// Limits of the retries of the whole fleet at each pool (`retry_percent` of the requests for it, 20 by default, in
-    /// each `retry_window_ms`, 10 s by default); the same at all nodes.
+    /// each `retry_window_ms`, 10 s by default, and `retry_slack` beside that, 50 by default); the same at all nodes.
     pub retry_limits: RetryLimits,
 }
 
@@ -201,7 +201,7 @@
 }
 
 /// Names of all settings of the file.
-const KNOWN: [&str; 19] = [
+const KNOWN: [&str; 20] = [
     "peer",
     "admin",
     "downstream",
@@ -221,6 +221,7 @@
     "bodies_mib",
     "retry_percent",
     "retry_window_ms",
+    "retry_slack",
 ];
 
 /// Reads single settings and collects the errors.
@@ -454,7 +455,8 @@
 fn read_retry_limits(reader: &mut SettingsReader) -> RetryLimits {
     let percent = reader.number("retry_percent", 0, 100, 20) as u32;
     let window_ms = reader.number("retry_window_ms", MIN_WINDOW / MS, 600_000, 10_000);
-    RetryLimits { ratio_milli: percent * 10, window: window_ms * MS }
+    let slack = reader.number("retry_slack", 0, 1_000_000, 50) as u32;
+    RetryLimits { ratio_milli: percent * 10, window: window_ms * MS, slack }
 }
 
 /// Returns an error for each two listeners that have the same address.
--- a/crates/testbed/src/sim/calls/call_driver.rs
+++ b/crates/testbed/src/sim/calls/call_driver.rs
@@ -66,6 +66,7 @@
         let registry = &mut self.machines[machine].calls;
         let workers_changed = !Arc::ptr_eq(&registry.view.workers, &view.workers);
         let version_changed = registry.view.version != view.version;
+        registry.shared.retry_budget.set_node_count(view.nodes.len());
         registry.view = view;
         if workers_changed {
             for pool in registry.view.config.pools.keys() {
