One runtime for the fleet subcommands; the soak takes its slack from the deployment

The builder of the runtime stood in two subcommands, and the soak's allowance could differ from its deployment's slack.

--- a/crates/testbed/src/cli/fleet.rs
+++ b/crates/testbed/src/cli/fleet.rs
@@ -1,12 +1,9 @@
 //! `testbed fleet`: runs processes of sumacvale on loopback, with traffic and faults.
 
-use super::fail;
 use super::options::Arguments;
+use super::{fail, fleet_runtime};
 use sumacvale_testbed::fleet::{FleetSpec, run_scenario};
 
-/// The number of threads of the runtime that sends calls and injects faults.
-const THREADS: usize = 4;
-
 /// Runs a scenario of the deployment and prints its report. Returns true if there are no findings.
 pub fn run(arguments: &Arguments) -> bool {
     let spec = arguments.deployment(FleetSpec::named);
@@ -14,11 +11,7 @@
     let seed = arguments.number("seed", 1);
     let with_faults = !arguments.has_flag("calm");
     let scale_percent = arguments.number("scale", 100).clamp(1, 1000);
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(THREADS)
-        .enable_all()
-        .build()
-        .unwrap_or_else(|error| fail(&error.to_string()));
+    let runtime = fleet_runtime();
     let outcome = runtime
         .block_on(run_scenario(spec, seconds, seed, with_faults, scale_percent))
         .unwrap_or_else(|error| fail(&error));
--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -15,6 +15,8 @@
 const EXIT_FINDINGS: u8 = 1;
 /// The exit code for an invalid command line, or a run that could not be started or completed.
 const EXIT_ERROR: i32 = 2;
+/// The number of threads of the runtime that sends calls and injects faults.
+const FLEET_THREADS: usize = 4;
 
 /// Runs the subcommand on the command line and returns the exit code.
 pub fn run() -> ExitCode {
@@ -38,6 +40,15 @@
     if passed { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FINDINGS) }
 }
 
+/// Builds the runtime that sends calls to a fleet and injects faults.
+fn fleet_runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(FLEET_THREADS)
+        .enable_all()
+        .build()
+        .unwrap_or_else(|error| fail(&error.to_string()))
+}
+
 /// Prints a message to standard error and exits with [`EXIT_ERROR`].
 fn fail(message: &str) -> ! {
     eprintln!("testbed: {message}");
--- a/crates/testbed/src/cli/retry_soak.rs
+++ b/crates/testbed/src/cli/retry_soak.rs
@@ -1,28 +1,19 @@
 //! `testbed retry-soak`: soaks the retry budget of processes on loopback, one seed after the other.
 
-use super::fail;
+use super::fleet_runtime;
 use super::options::Arguments;
 use sumacvale_testbed::fleet::{FleetSpec, RetrySoak, RetrySoakOutcome, run_retry_soak};
-use sumacvale_testbed::retry_allowance::RetryAllowance;
-
-/// The number of threads of the runtime that sends calls and injects faults.
-const THREADS: usize = 4;
 
 /// Runs the soaks and prints their results. Returns true if no allowance was exceeded.
 pub fn run(arguments: &Arguments) -> bool {
     let deployment = arguments.deployment(FleetSpec::named);
     let spec = FleetSpec { fronts: arguments.count("fronts", deployment.fronts), ..deployment };
     let seconds = arguments.number("seconds", 30).clamp(10, 600);
-    let allowance = RetryAllowance { slack: spec.retry_slack, ..RetryAllowance::default() };
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(THREADS)
-        .enable_all()
-        .build()
-        .unwrap_or_else(|error| fail(&error.to_string()));
+    let runtime = fleet_runtime();
     let first_seed = arguments.number("seed", 1);
     let mut passed = true;
     for seed in first_seed..first_seed + arguments.number("seeds", 5) {
-        let soak = RetrySoak { spec, seconds, seed, allowance };
+        let soak = RetrySoak { spec, seconds, seed };
         match runtime.block_on(run_retry_soak(soak)) {
             Ok(outcome) => {
                 print(seed, &outcome);
--- a/crates/testbed/src/fleet/retry_soak.rs
+++ b/crates/testbed/src/fleet/retry_soak.rs
@@ -31,8 +31,6 @@
     pub seconds: u64,
     /// The seed of the traffic and of all faults.
     pub seed: u64,
-    /// The allowance of retries, with the slack that the deployment's page states.
-    pub allowance: RetryAllowance,
 }
 
 /// The results of a soak.
@@ -218,11 +216,13 @@
     for arrival in arrivals {
         record.request_arrived(&arrival.pool, numbers[arrival.call_id.as_str()], micros(arrival.at));
     }
+    let without_slack = RetryAllowance::default();
+    let allowance = RetryAllowance { slack: soak.spec.retry_slack, ..without_slack };
     RetrySoakOutcome {
         requests,
         repeats: ["app", "llm"].into_iter().map(|pool| (pool, record.repeats(pool))).collect(),
         events,
-        excesses: record.excesses(soak.allowance),
-        excesses_without_slack: record.excesses(RetryAllowance { slack: 0, ..soak.allowance }),
+        excesses: record.excesses(allowance),
+        excesses_without_slack: record.excesses(without_slack),
     }
 }
--- a/crates/testbed/tests/retry_soak.rs
+++ b/crates/testbed/tests/retry_soak.rs
@@ -1,7 +1,6 @@
 //! A short soak of the retry budget with processes; `testbed retry-soak` runs longer ones.
 
 use sumacvale_testbed::fleet::{FleetSpec, RetrySoak, run_async_test, run_retry_soak};
-use sumacvale_testbed::retry_allowance::RetryAllowance;
 
 const SECONDS: u64 = 25;
 
@@ -9,8 +8,7 @@
 fn retries_of_signalled_processes_stay_within_the_allowance_of_each_service() {
     run_async_test(async {
         for seed in 1..3 {
-            let allowance = RetryAllowance { slack: FleetSpec::DERWENT.retry_slack, ..RetryAllowance::default() };
-            let soak = RetrySoak { spec: FleetSpec::DERWENT, seconds: SECONDS, seed, allowance };
+            let soak = RetrySoak { spec: FleetSpec::DERWENT, seconds: SECONDS, seed };
             let outcome = run_retry_soak(soak).await?;
             println!("seed {seed}: {outcome:?}");
             if !outcome.excesses.is_empty() {
