--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -25,7 +25,6 @@
     pub ended_ms: u64,
     pub status: u16,
     pub end: Option<End>,
-    pub seal: Option<String>,
     pub body: Vec<u8>,
 }
 
@@ -110,18 +109,21 @@
     /// before. `form_of` gives the form of the nth request. Returns once all have ended.
     pub fn pour(self: &Arc<Crowd>, per_second: u64, seconds: u64, form_of: impl Fn(u64) -> Form) {
         let start = Instant::now();
-        let mut threads = Vec::new();
+        let running = Arc::new(AtomicU64::new(0));
         for n in 0..per_second * seconds {
             let due = start + Duration::from_micros(n * 1_000_000 / per_second);
             std::thread::sleep(due.saturating_duration_since(Instant::now()));
-            let (crowd, form) = (self.clone(), form_of(n));
+            let (crowd, form, running) = (self.clone(), form_of(n), running.clone());
+            running.fetch_add(1, Ordering::Relaxed);
             let index = n as usize % self.doors.len();
             let run = move || {
                 let until = Instant::now() + Duration::from_millis(form.time_left_ms);
                 let mut form = form;
                 // A further try on a new connection, after the time that a refusal names.
                 for _ in 0..=form.further_tries {
-                    let Ok(connection) = Connection::open(crowd.doors[index].front, Duration::from_secs(1)) else { break };
+                    let Ok(connection) = Connection::open(crowd.doors[index].front, Duration::from_secs(1)) else {
+                        break;
+                    };
                     let Some(wait) = crowd.send(index, connection, &form).1 else { break };
                     let left = until.saturating_duration_since(Instant::now());
                     if wait > left / 3 {
@@ -130,11 +132,14 @@
                     std::thread::sleep(wait);
                     form.time_left_ms = until.saturating_duration_since(Instant::now()).as_millis() as u64;
                 }
+                running.fetch_sub(1, Ordering::Relaxed);
             };
-            let thread = std::thread::Builder::new().stack_size(128 << 10).spawn(run);
-            threads.extend(thread);
+            // Not joined: an ended thread that waits to be joined would keep its stack.
+            drop(std::thread::Builder::new().stack_size(128 << 10).spawn(run).expect("a thread for a client"));
+        }
+        while running.load(Ordering::Relaxed) > 0 {
+            pause_ms(20);
         }
-        threads.into_iter().for_each(|thread| drop(thread.join()));
     }
 
     /// Sends one request; returns the connection where it can be used again, and after which time a refused request
@@ -167,7 +172,6 @@
             ended_ms: now_ms(),
             status: answer.status,
             end: Some(answer.end),
-            seal: answer.header("sumacvale-server-seal").map(str::to_owned),
             body: answer.body.clone(),
         };
         self.outcomes.lock().unwrap().push(outcome);
--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -174,20 +174,13 @@
         (0..self.machines.len()).filter(|&i| !self.machines[i].is_core).collect()
     }
 
-    pub fn cores(&self) -> Vec<usize> {
-        (0..self.machines.len()).filter(|&i| self.machines[i].is_core).collect()
-    }
-
     /// Writes the settings file of a machine, with the fields of the pages.
     pub fn write_settings(&self, index: usize, is_first_start: bool) {
         let machine = &self.machines[index];
         let zone = machine.name.trim_end_matches(|c: char| c.is_ascii_digit() || c == '-');
         let zone = zone.split_once('-').map_or(zone, |split| split.1);
         let (role, ip) = (if machine.is_core { "core" } else { "front" }, &machine.ip);
-        let mut text = format!(
-            "node: \"{}\"\nrole: \"{role}\"\nmachineClass: \"{role}\"\nserves:\n",
-            machine.name
-        );
+        let mut text = format!("node: \"{}\"\nrole: \"{role}\"\nmachineClass: \"{role}\"\nserves:\n", machine.name);
         let serves: &[&str] = if machine.is_core { &["control"] } else { &["front", "control"] };
         serves.iter().for_each(|s| text.push_str(&format!("  - \"{s}\"\n")));
         text.push_str(&format!("ip: \"{ip}\"\nzone: \"{zone}\"\nregion: \"tbilisi\"\nzones:\n"));
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -76,7 +76,17 @@
 }
 
 fn request(path: &'static str, keeps: bool, pause_ms: u64) -> Request {
-    Request { path, host: HOST, key: KEY, body: b"one seat".to_vec(), time_left_ms: 3000, keeps, pause_ms, further_tries: 0, silence_ms: 60_000 }
+    Request {
+        path,
+        host: HOST,
+        key: KEY,
+        body: b"one seat".to_vec(),
+        time_left_ms: 3000,
+        keeps,
+        pause_ms,
+        further_tries: 0,
+        silence_ms: 60_000,
+    }
 }
 
 /// Starts a fleet with its configuration, one worker in each zone and clients.
@@ -170,7 +180,12 @@
         if all <= 5 || (is_in_touch && counted <= 20) {
             note(&format!(
                 "request {} of {} ms, taken by {}, reached {} at {} ms, {} ms after the acknowledgement; in touch: {is_in_touch}",
-                arrival.id, outcome.sent_ms, outcome.front, leaver.id, arrival.at_ms, arrival.at_ms - acked_ms
+                arrival.id,
+                outcome.sent_ms,
+                outcome.front,
+                leaver.id,
+                arrival.at_ms,
+                arrival.at_ms - acked_ms
             ));
         }
     }
@@ -288,7 +303,9 @@
     }
     counts.iter().for_each(|(key, count)| note(&format!("{count:>6} requests ended so: {key}")));
     note(&format!("processor time of the front during the burst: {} ms", processor_ms[1] - processor_ms[0]));
-    note(&format!("requests without an answer at their route's giveUpMs: {unanswered}, half a second later: {still_unanswered}"));
+    note(&format!(
+        "requests without an answer at their route's giveUpMs: {unanswered}, half a second later: {still_unanswered}"
+    ));
     i32::from(still_unanswered >= 8 && still_unanswered * 2 > unanswered)
 }
 
@@ -363,9 +380,9 @@
     for outcome in outcomes.iter() {
         *counts.entry(format!("{} {:?}", outcome.status, outcome.end)).or_default() += 1;
         // From the SIGTERM until 1 s after `graceS`; work in the last sixth of `graceS` is not counted.
-        let stop = stops.iter().find(|(name, at)| {
-            *name == outcome.front && outcome.ended_ms >= *at && outcome.sent_ms <= *at + 3_000
-        });
+        let stop = stops
+            .iter()
+            .find(|(name, at)| *name == outcome.front && outcome.ended_ms >= *at && outcome.sent_ms <= *at + 3_000);
         let Some((_, stopped_ms)) = stop else { continue };
         around += 1;
         let is_in_time = outcome.ended_ms < stopped_ms + fleet::GRACE_S * 1_000 * 5 / 6;
