--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -152,10 +152,11 @@
     if kills {
         fleet.kill_all();
         pause_ms(500);
+        (0..fleet.machines.len()).for_each(|index| fleet.write_settings(index, false));
         fleet.start_all();
         calm_from = now_ms() + CONTACT_MS;
     }
-    pause_until_ms(acked_ms + 2_600);
+    pause_until_ms(acked_ms + 3_600);
     if is_late {
         let status = http::call_once(seeds[0], &late_beat, std::time::Duration::from_secs(1)).map_or(0, |a| a.status);
         note(&format!("beat {number} of {} arrives {} ms late: {status}", leaver.id, now_ms() - late_sent_ms));
@@ -171,12 +172,13 @@
     let outcomes = crowd.outcomes.lock().unwrap();
     let sent: BTreeMap<&str, &client::Outcome> = outcomes.iter().map(|o| (o.id.as_str(), o)).collect();
     let bound = acked_ms + DRAIN_MS;
-    let (mut all, mut counted) = (0, 0);
+    let (mut all, mut counted, mut later) = (0, 0, 0);
     for arrival in leaver.arrivals.lock().unwrap().iter().filter(|arrival| arrival.at_ms > bound) {
         let Some(outcome) = sent.get(arrival.id.as_str()) else { continue };
         all += 1;
         let is_in_touch = outcome.sent_ms > calm_from;
         counted += usize::from(is_in_touch);
+        later += usize::from(is_in_touch && outcome.sent_ms > calm_from + CONTACT_MS);
         if all <= 5 || (is_in_touch && counted <= 20) {
             note(&format!(
                 "request {} of {} ms, taken by {}, reached {} at {} ms, {} ms after the acknowledgement; in touch: {is_in_touch}",
@@ -192,7 +194,8 @@
     let served = outcomes.iter().filter(|o| o.status == 200 && o.end == Some(http::End::Complete)).count();
     note(&format!("{} requests, {served} served", outcomes.len()));
     note(&format!(
-        "requests at {} later than drainMs after its acknowledgement: {all}, of these by machines in touch: {counted}",
+        "requests at {} later than drainMs after its acknowledgement: {all}, of these by machines in touch: {counted} \
+         ({later} sent over twice contactMs after the last start of a process)",
         leaver.id
     ));
     i32::from(counted > 0)
@@ -362,6 +365,7 @@
         stops.push((fleet.machines[index].name.clone(), now_ms()));
         pause_ms(fleet::GRACE_S * 1_000);
         fleet.machines[index].kill();
+        fleet.write_settings(index, false);
         fleet.machines[index].start();
         pause_ms(CONTACT_MS);
     }
