--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -29,6 +29,12 @@
     let _ = writeln!(record, "{:>7} ms  {text}", now_ms());
 }
 
+/// Adds an entry of a list to the record.
+pub fn list(text: &str) {
+    let mut record = RECORD.lock().unwrap();
+    let _ = writeln!(record, "    {text}");
+}
+
 /// Writes the record to its file.
 pub fn save_record(path: &str) {
     let _ = fs::write(path, RECORD.lock().unwrap().as_str());
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -112,6 +112,36 @@
     Some((fleet, workers, crowd))
 }
 
+/// Notes each request: when and where it was sent, how it was answered, and which workers ran it when.
+fn note_requests(outcomes: &[client::Outcome], workers: &[Arc<Worker>]) {
+    let mut runs: BTreeMap<String, String> = BTreeMap::new();
+    for worker in workers {
+        for arrival in worker.arrivals.lock().unwrap().iter() {
+            let text = runs.entry(arrival.id.clone()).or_default();
+            text.push_str(&format!(", run by {} at {} ms", worker.id, arrival.at_ms));
+        }
+    }
+    let mut sorted: Vec<&client::Outcome> = outcomes.iter().collect();
+    sorted.sort_by_key(|outcome| outcome.sent_ms);
+    note("all requests:");
+    for outcome in sorted {
+        let answer = match (outcome.status, outcome.end) {
+            (0, Some(http::End::Late)) => "no answer, the client left".to_owned(),
+            (status, Some(end)) => format!("{status} {end:?} with {} bytes", outcome.body.len()),
+            (status, None) => status.to_string(),
+        };
+        fleet::list(&format!(
+            "{} {} sent to {} at {} ms, ended at {} ms: {answer}{}",
+            outcome.id,
+            outcome.path,
+            outcome.front,
+            outcome.sent_ms,
+            outcome.ended_ms,
+            runs.get(&outcome.id).map_or(", not run", String::as_str)
+        ));
+    }
+}
+
 /// Ends all processes of a fleet; notes each that had ended by itself.
 fn finish(fleet: &mut Fleet) {
     for machine in &mut fleet.machines {
@@ -191,6 +221,7 @@
             ));
         }
     }
+    note_requests(&outcomes, &workers);
     let served = outcomes.iter().filter(|o| o.status == 200 && o.end == Some(http::End::Complete)).count();
     note(&format!("{} requests, {served} served", outcomes.len()));
     note(&format!(
@@ -282,7 +313,6 @@
     let _ = usual.join();
     crowd.is_over.store(true, Ordering::Relaxed);
     finish(&mut fleet);
-    drop(workers);
 
     let outcomes = crowd.outcomes.lock().unwrap();
     let mut counts: BTreeMap<String, u64> = BTreeMap::new();
@@ -304,6 +334,7 @@
             }
         }
     }
+    note_requests(&outcomes, &workers);
     counts.iter().for_each(|(key, count)| note(&format!("{count:>6} requests ended so: {key}")));
     note(&format!("processor time of the front during the burst: {} ms", processor_ms[1] - processor_ms[0]));
     note(&format!(
@@ -409,6 +440,7 @@
             }
         }
     }
+    note_requests(&outcomes, &workers);
     counts.iter().for_each(|(key, count)| note(&format!("{count:>6} requests ended so: {key}")));
     let abandoned: usize = workers.iter().map(|worker| worker.abandoned.lock().unwrap().len()).sum();
     note(&format!("streams that the workers could not finish, as the front had left: {abandoned}"));
