--- a/review/standin/src/fleet.rs
+++ b/review/standin/src/fleet.rs
@@ -32,7 +32,7 @@
 /// Adds an entry of a list to the record.
 pub fn list(text: &str) {
     let mut record = RECORD.lock().unwrap();
-    let _ = writeln!(record, "    {text}");
+    let _ = writeln!(record, "{text}");
 }
 
 /// Writes the record to its file.
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -115,29 +115,36 @@
 /// Notes each request: when and where it was sent, how it was answered, and which workers ran it when.
 fn note_requests(outcomes: &[client::Outcome], workers: &[Arc<Worker>]) {
     let mut runs: BTreeMap<String, String> = BTreeMap::new();
-    for worker in workers {
+    for (number, worker) in workers.iter().enumerate() {
+        note(&format!("w{number} is worker {}", worker.id));
         for arrival in worker.arrivals.lock().unwrap().iter() {
             let text = runs.entry(arrival.id.clone()).or_default();
-            text.push_str(&format!(", run by {} at {} ms", worker.id, arrival.at_ms));
+            text.push_str(&format!(" w{number}@{}", arrival.at_ms));
         }
     }
+    let mut fronts: Vec<&str> = outcomes.iter().map(|outcome| outcome.front.as_str()).collect();
+    fronts.sort_unstable();
+    fronts.dedup();
+    fronts.iter().enumerate().for_each(|(number, front)| note(&format!("f{number} is {front}")));
     let mut sorted: Vec<&client::Outcome> = outcomes.iter().collect();
     sorted.sort_by_key(|outcome| outcome.sent_ms);
-    note("all requests:");
+    note(
+        "all requests: last digits of the id, path, front, sent and ended (ms), status, end, run by which worker when (ms)",
+    );
     for outcome in sorted {
-        let answer = match (outcome.status, outcome.end) {
-            (0, Some(http::End::Late)) => "no answer, the client left".to_owned(),
-            (status, Some(end)) => format!("{status} {end:?} with {} bytes", outcome.body.len()),
-            (status, None) => status.to_string(),
+        let front = fronts.iter().position(|front| *front == outcome.front).unwrap_or(0);
+        let end = match outcome.end {
+            Some(http::End::Complete) => "whole".to_owned(),
+            end => end.map_or_else(String::new, |end| format!("{end:?}")),
         };
         fleet::list(&format!(
-            "{} {} sent to {} at {} ms, ended at {} ms: {answer}{}",
-            outcome.id,
-            outcome.path,
-            outcome.front,
+            "{} {} f{front} {} {} {} {end}{}",
+            &outcome.id[outcome.id.len().saturating_sub(4)..],
+            &outcome.path[1..2],
             outcome.sent_ms,
             outcome.ended_ms,
-            runs.get(&outcome.id).map_or(", not run", String::as_str)
+            outcome.status,
+            runs.get(&outcome.id).map_or("", String::as_str)
         ));
     }
 }
