Log each aborted response with its cause, and count aborts by cause

Change: AbortCause, FailoverObstacle and ResponseAbort in place of a text; sumacvale_aborted_total{cause}; a WARN line for each aborted response and for each call that the end of the process cuts. No decision changes.

--- a/crates/core/src/call/context.rs
+++ b/crates/core/src/call/context.rs
@@ -1,6 +1,7 @@
 //! The context of a call's steps: the state that all calls of a process share, the cache layers of
 //! this thread, the view and the time.
 
+use super::abort::AbortCounters;
 use super::body_budget::BodyBudget;
 use super::caches::{Caches, ThreadCaches};
 use super::counters::DataPlaneCounters;
@@ -42,6 +43,8 @@
     pub counters: DataPlaneCounters,
     /// The number of calls that ended with a local response, by reason.
     pub rejections: RejectionCounters,
+    /// The number of responses that were aborted after their head, by cause.
+    pub aborts: AbortCounters,
     /// The time from the head of the request to the head of its response.
     pub time_to_first_byte: LatencyHistogram,
     /// The time from the head of the request to the grant of its quota unit.
@@ -87,6 +90,7 @@
             attempt_counters: AttemptCounters::default(),
             counters: DataPlaneCounters::default(),
             rejections: RejectionCounters::default(),
+            aborts: AbortCounters::default(),
             time_to_first_byte: LatencyHistogram::default(),
             quota_wait: LatencyHistogram::default(),
             slot_wait: LatencyHistogram::default(),
--- a/crates/core/src/call/io.rs
+++ b/crates/core/src/call/io.rs
@@ -3,6 +3,7 @@
 //! The machine performs no I/O itself. Its driver (crate `sumacvale-node`) passes [`Event`]s to it and
 //! performs the [`Effect`]s in the order in which the machine returns them.
 
+use super::abort::ResponseAbort;
 use super::holdings::QuotaUnit;
 use super::local_response::LocalResponse;
 use crate::base::Micros;
@@ -144,8 +145,8 @@
     ForwardChunk(Bytes),
     /// End the response as complete.
     FinishResponse,
-    /// Abort the response so that the client can tell that it is incomplete; the reason for the log.
-    AbortResponse(&'static str),
+    /// Abort the response so that the client can tell that it is incomplete.
+    AbortResponse(ResponseAbort),
     /// Send the client a response that this node generates.
     Respond(LocalResponse),
     /// Deliver an event to another call.
--- a/crates/core/src/call/mod.rs
+++ b/crates/core/src/call/mod.rs
@@ -5,6 +5,7 @@
 //! received → routed → body read → quota granted → connecting → awaiting head → streaming → finished.
 //! [`SharedCallState`] holds what all calls of a process share: queues, caches, loads and counters.
 
+mod abort;
 mod body_budget;
 mod caches;
 mod context;
@@ -26,6 +27,7 @@
 mod state;
 mod steps;
 
+pub use abort::{AbortCause, AbortCounters, FailoverObstacle, ResponseAbort};
 pub use body_budget::{BodyBudget, BodyReservation};
 pub use caches::{Caches, ThreadCaches};
 pub use context::{SharedCallState, StepContext};
--- a/crates/core/src/call/state.rs
+++ b/crates/core/src/call/state.rs
@@ -3,6 +3,7 @@
 //! Each step consumes the call in one phase and returns it in the next, so that a quota unit or a
 //! slot can be used only in the phases that hold one. [`CallState`] is the sum of all phases.
 
+use super::abort::AbortCause;
 use super::holdings::{QuotaUnit, ReservedSlot};
 use super::io::{RequestHead, ResponseHead};
 use crate::base::{Micros, SEC};
@@ -202,8 +203,12 @@
     /// The event after which the current worker resumed the stream. The stream is not resumed a
     /// second time after the same event unless the match is idempotent.
     pub resumed_after: Option<u64>,
+    /// The time at which the worker last sent bytes or the head, in microseconds.
+    pub last_received_at: Micros,
     /// The time at which the stream counts as broken unless another chunk arrives, in microseconds.
     pub idle_deadline: Micros,
+    /// What broke the stream of the worker before; `None` while no worker's stream has broken.
+    pub broken_by: Option<AbortCause>,
 }
 
 impl Call<BodyRead> {
--- a/crates/core/src/call/steps/acquire_slot.rs
+++ b/crates/core/src/call/steps/acquire_slot.rs
@@ -2,6 +2,7 @@
 //! or ends the call.
 
 use crate::base::{Micros, SEC};
+use crate::call::abort::{AbortCause, FailoverObstacle, ResponseAbort};
 use crate::call::context::StepContext;
 use crate::call::holdings::ReservedSlot;
 use crate::call::io::{Effect, Effects};
@@ -127,11 +128,26 @@
     context: &mut StepContext,
     effects: &mut Effects,
 ) -> StepResult<CallState> {
-    refund_unused_unit(&call.state, context, effects);
     if call.state.stream.is_some() {
-        context.shared.counters.streams_aborted.increment();
-        effects.push(Effect::AbortResponse(response.code));
-        return ControlFlow::Continue(CallState::Finished);
+        return abort_stream(call, FailoverObstacle::AttemptFailed(response.reason), context, effects);
     }
+    refund_unused_unit(&call.state, context, effects);
     ControlFlow::Break(Halt::Respond(response.with_execution(call.state.request.attempts.execution)))
 }
+
+/// Aborts the response of a call whose worker's stream broke and which no other worker continues.
+pub(super) fn abort_stream(
+    call: Call<QuotaGranted>,
+    obstacle: FailoverObstacle,
+    context: &mut StepContext,
+    effects: &mut Effects,
+) -> StepResult<CallState> {
+    refund_unused_unit(&call.state, context, effects);
+    let stream = call.state.stream.as_ref();
+    let cause = stream.and_then(|stream| stream.broken_by).unwrap_or(AbortCause::WorkerBrokeOff);
+    let idle_time = stream.map_or(0, |stream| context.now.saturating_sub(stream.last_received_at));
+    context.shared.aborts.add(cause);
+    context.shared.counters.streams_aborted.increment();
+    effects.push(Effect::AbortResponse(ResponseAbort { cause, obstacle, idle_time }));
+    ControlFlow::Continue(CallState::Finished)
+}
--- a/crates/core/src/call/steps/failover.rs
+++ b/crates/core/src/call/steps/failover.rs
@@ -1,8 +1,9 @@
 //! The transition after a failed attempt or a broken stream: another attempt if a retry is safe and
 //! the retry budget allows it, or the end of the call.
 
-use super::acquire_slot::{end_without_slot, request_slot};
+use super::acquire_slot::{abort_stream, end_without_slot, request_slot};
 use crate::base::{Micros, SEC};
+use crate::call::abort::FailoverObstacle;
 use crate::call::context::StepContext;
 use crate::call::holdings::ReservedSlot;
 use crate::call::io::Effects;
@@ -162,19 +163,31 @@
     context: &mut StepContext,
     effects: &mut Effects,
 ) -> StepResult<CallState> {
-    let can_resume = can_resume(&call.state);
-    let BodyRead { attempts, route, .. } = &mut call.state.request;
-    let may_resume =
-        can_resume && attempts.allow_another(route, context.now) && permit_retry(attempts, &route.pool, context);
-    if !may_resume {
+    if let Some(obstacle) = resume_obstacle(&mut call.state, context) {
         context.shared.counters.retries_denied.increment();
-        return end_without_slot(call, failure_response(FailurePoint::Body, false), context, effects);
+        return abort_stream(call, obstacle, context, effects);
     }
     context.shared.attempt_counters.record_retry(&call.state.request.route.pool, FailurePoint::Body);
     call.state.slot_deadline = context.now + call.state.request.route.matched.queue_timeout;
     request_slot(call, context, effects)
 }
 
+/// Returns what prevents another attempt to continue the stream; if nothing does, the attempt is withdrawn from the
+/// retry budget.
+fn resume_obstacle(granted: &mut QuotaGranted, context: &StepContext) -> Option<FailoverObstacle> {
+    let can_resume = can_resume(granted);
+    let BodyRead { attempts, route, .. } = &mut granted.request;
+    if !can_resume {
+        Some(FailoverObstacle::NotResumable)
+    } else if !attempts.allow_another(route, context.now) {
+        Some(FailoverObstacle::NoAttemptLeft)
+    } else if !permit_retry(attempts, &route.pool, context) {
+        Some(FailoverObstacle::OverBudget)
+    } else {
+        None
+    }
+}
+
 /// Whether the stream has a point to resume from. Without a resume point the call would run again
 /// from its beginning, which only an idempotent call may do.
 fn can_resume(granted: &QuotaGranted) -> bool {
--- a/crates/core/src/call/steps/response_stream.rs
+++ b/crates/core/src/call/steps/response_stream.rs
@@ -21,7 +21,9 @@
         has_forwarded: false,
         has_first_chunk: false,
         resumed_after: None,
+        last_received_at: context.now,
         idle_deadline: context.now + route.stream_idle_timeout(),
+        broken_by: None,
     };
     CallState::Streaming(call.map_state(|AwaitingHead { granted, slot, .. }| Streaming { granted, slot, stream }))
 }
@@ -40,7 +42,9 @@
             has_first_chunk: false,
             resumed_after: events.as_ref().and_then(EventSplitter::resume_point).flatten(),
             events,
+            last_received_at: context.now,
             idle_deadline: context.now + granted.request.route.stream_idle_timeout(),
+            broken_by: None,
         };
         Streaming { granted, slot, stream }
     }))
--- a/crates/core/src/call/steps/streaming.rs
+++ b/crates/core/src/call/steps/streaming.rs
@@ -1,6 +1,7 @@
 //! The phase `Streaming`: forwards a worker's response to the client.
 
 use super::failover::resume_elsewhere;
+use crate::call::abort::{AbortCause, FailoverObstacle, ResponseAbort};
 use crate::call::context::StepContext;
 use crate::call::io::{Effect, Effects, Event};
 use crate::call::progress::StepResult;
@@ -26,13 +27,15 @@
             ControlFlow::Continue(CallState::Finished)
         }
         Event::ResponseEnd | Event::ResponseAborted | Event::AttemptFailed(_) => {
-            handle_broken_stream(call, context, effects)
+            handle_broken_stream(call, AbortCause::WorkerBrokeOff, context, effects)
         }
         Event::Wake if call.state.granted.request.route.is_revoked(context) => {
             context.shared.counters.streams_cut_on_revoke.increment();
-            abort(call, "the API key was revoked", context, effects)
+            abort(call, AbortCause::KeyRevoked, context, effects)
+        }
+        Event::Wake if context.now >= call.state.stream.idle_deadline => {
+            handle_broken_stream(call, AbortCause::WorkerIdle, context, effects)
         }
-        Event::Wake if context.now >= call.state.stream.idle_deadline => handle_broken_stream(call, context, effects),
         _ => ControlFlow::Continue(CallState::Streaming(call)),
     }
 }
@@ -53,6 +56,7 @@
     if !std::mem::replace(&mut stream.has_first_chunk, true) {
         context.shared.engines.record_first_token(&slot.pool, &slot.endpoint.worker_id, slot.ticket, context.now);
     }
+    stream.last_received_at = context.now;
     stream.idle_deadline = context.now + granted.request.route.stream_idle_timeout();
     if slot.endpoint.zone != context.shared.zone {
         context.shared.counters.cross_zone_bytes.add(chunk.len() as u64);
@@ -61,7 +65,7 @@
         None => vec![chunk],
         Some(events) => match events.push(&chunk) {
             Ok(chunks) => chunks,
-            Err(_) => return abort(call, "the worker sent an invalid sequence of events", context, effects),
+            Err(_) => return abort(call, AbortCause::InvalidEvents, context, effects),
         },
     };
     stream.has_forwarded |= !chunks.is_empty();
@@ -72,6 +76,7 @@
 /// Ejects the worker whose stream broke, and resumes the stream at another worker if possible.
 fn handle_broken_stream(
     call: Call<Streaming>,
+    cause: AbortCause,
     context: &mut StepContext,
     effects: &mut Effects,
 ) -> StepResult<CallState> {
@@ -80,20 +85,26 @@
     context.shared.eject_worker(&call.state.slot);
     release_slot(&call.state.slot, context, effects);
     let worker_id = call.state.slot.endpoint.worker_id.clone();
-    let mut call = call.map_state(|Streaming { granted, stream, .. }| QuotaGranted { stream: Some(stream), ..granted });
+    let mut call = call.map_state(|Streaming { granted, mut stream, .. }| {
+        stream.broken_by = Some(cause);
+        QuotaGranted { stream: Some(stream), ..granted }
+    });
     call.state.request.attempts.excluded.push(worker_id);
     resume_elsewhere(call, context, effects)
 }
 
 fn abort(
     call: Call<Streaming>,
-    reason: &'static str,
+    cause: AbortCause,
     context: &mut StepContext,
     effects: &mut Effects,
 ) -> StepResult<CallState> {
     release_slot(&call.state.slot, context, effects);
+    context.shared.aborts.add(cause);
     context.shared.counters.streams_aborted.increment();
     effects.push(Effect::CloseConnection);
-    effects.push(Effect::AbortResponse(reason));
+    let idle_time = context.now.saturating_sub(call.state.stream.last_received_at);
+    let obstacle = FailoverObstacle::Forbidden;
+    effects.push(Effect::AbortResponse(ResponseAbort { cause, obstacle, idle_time }));
     ControlFlow::Continue(CallState::Finished)
 }
--- a/crates/node/src/admin/metrics.rs
+++ b/crates/node/src/admin/metrics.rs
@@ -4,7 +4,9 @@
 use crate::shared::Shared;
 use std::fmt::Write;
 use std::sync::atomic::Ordering;
-use sumacvale_core::call::{BUCKET_BOUNDS, COUNTER_HELP_TEXTS, LatencyHistogram, RejectionCounters, RejectionReason};
+use sumacvale_core::call::{
+    AbortCause, AbortCounters, BUCKET_BOUNDS, COUNTER_HELP_TEXTS, LatencyHistogram, RejectionCounters, RejectionReason,
+};
 use sumacvale_core::retry::{AttemptCounters, FailurePoint};
 use viz::{Response, StatusCode};
 
@@ -65,6 +67,7 @@
     write_metric("body_bytes", "gauge", shared.call_state.body_budget.used() as u64, "Bytes of bodies held at once.");
     write_metric("leases_held", "gauge", view.held_leases.len() as u64, "Leases held by this node.");
     write_rejections(&mut output, &shared.call_state.rejections);
+    write_aborts(&mut output, &shared.call_state.aborts);
     write_attempts(&mut output, &shared.call_state.attempt_counters);
     let _ = writeln!(
         output,
@@ -106,6 +109,15 @@
     }
 }
 
+/// Writes one counter for each cause of an abort, also those that are 0.
+fn write_aborts(output: &mut String, aborts: &AbortCounters) {
+    let help = "Responses that were aborted after their head, by cause.";
+    let _ = writeln!(output, "# HELP sumacvale_aborted_total {help}\n# TYPE sumacvale_aborted_total counter");
+    for cause in AbortCause::ALL {
+        let _ = writeln!(output, "sumacvale_aborted_total{{cause=\"{}\"}} {}", cause.name(), aborts.get(cause));
+    }
+}
+
 /// Writes the attempts of each pool: first attempts, retries by what preceded them, and retries over the budget.
 fn write_attempts(output: &mut String, counters: &AttemptCounters) {
     let counts = counters.list();
--- a/crates/node/src/front/call_task.rs
+++ b/crates/node/src/front/call_task.rs
@@ -16,9 +16,10 @@
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use sumacvale_core::base::{MS, Micros};
-use sumacvale_core::call::{BodyError, BodyReservation, CallMachine, Effect, Event, RequestHead};
+use sumacvale_core::call::{BodyError, BodyReservation, CallMachine, Effect, Event, RequestHead, ResponseAbort};
 use sumacvale_core::placement::Endpoint;
 use sumacvale_core::retry::FailurePoint;
 use tokio::sync::{mpsc, watch};
@@ -54,6 +55,8 @@
     shared: Arc<Shared>,
     /// The key under which the call subscribes to its events.
     call_number: u64,
+    /// The time at which the head of the request was read, in microseconds of the clock.
+    received_at: Micros,
     machine: CallMachine,
     request: ClientRequest,
     /// Effects that are not executed yet, in the order in which the machine returned them.
@@ -118,11 +121,13 @@
 impl CallTask {
     /// Creates the task of the call with this number.
     pub fn new(shared: Arc<Shared>, call_number: u64, head: RequestHead, request: ClientRequest, body: Body) -> Self {
-        let machine = CallMachine::new(call_number, head, shared.view.load_full(), clock::now());
+        let received_at = clock::now();
+        let machine = CallMachine::new(call_number, head, shared.view.load_full(), received_at);
         let events = shared.call_events.subscribe(call_number);
         let version_changed = shared.published_version.clone();
         CallTask {
             call_number,
+            received_at,
             machine,
             request,
             effects: VecDeque::new(),
@@ -210,9 +215,9 @@
                         }
                         return None;
                     }
-                    Effect::AbortResponse(reason) => {
-                        tracing::debug!(call = %self.request.call_id, reason, "response aborted");
-                        return Some(Err(std::io::Error::other(reason)));
+                    Effect::AbortResponse(abort) => {
+                        self.log_abort(abort);
+                        return Some(Err(std::io::Error::other(abort.cause.name())));
                     }
                     effect => self.execute(effect),
                 }
@@ -222,6 +227,31 @@
         }
     }
 
+    /// Logs what ended a response before its last byte, and whether the worker may have been at work.
+    fn log_abort(&self, abort: ResponseAbort) {
+        tracing::warn!(
+            call = %self.request.call_id,
+            worker = self.worker_id(),
+            cause = abort.cause.name(),
+            is_worker_connected = abort.cause.is_worker_connected(),
+            not_resumed = abort.obstacle.name(),
+            idle_ms = abort.idle_time / MS,
+            age_ms = self.age() / MS,
+            is_stopping = self.shared.is_stopping(),
+            "a response was aborted"
+        );
+    }
+
+    /// The worker of the newest attempt; empty before the first.
+    fn worker_id(&self) -> &str {
+        self.endpoint.as_ref().map_or("", |endpoint| &endpoint.worker_id)
+    }
+
+    /// The time since the head of the request was read, in microseconds.
+    fn age(&self) -> Micros {
+        clock::now().saturating_sub(self.received_at)
+    }
+
     /// Steps the state machine and queues its effects. Wake-ups and requests for quota are executed at once.
     fn step(&mut self, event: Event) {
         let effects = self.shared.with_step_context(|context| self.machine.step(event, context));
@@ -369,6 +399,11 @@
 
 impl Drop for CallTask {
     fn drop(&mut self) {
+        if !self.machine.is_finished() && self.shared.grace_is_over.load(Ordering::Acquire) {
+            let (call, worker, age_ms) = (&self.request.call_id, self.worker_id(), self.age() / MS);
+            let is_streaming = self.machine.is_streaming();
+            tracing::warn!(%call, worker, age_ms, is_streaming, "the end of the process cuts a call");
+        }
         self.step(Event::ClientDisconnected);
         self.shared.call_events.unsubscribe(self.call_number);
         // The machine, which is finished, gives back what was granted to this call before that.
--- a/crates/node/src/run/bootstrap.rs
+++ b/crates/node/src/run/bootstrap.rs
@@ -176,6 +176,7 @@
         link_counters: Arc::default(),
         disk_error_count: writer.map(|writer| writer.error_count.clone()),
         stopping: AtomicBool::new(false),
+        grace_is_over: AtomicBool::new(false),
         operator_draining: AtomicBool::new(false),
         published_version: senders.published_version,
         next_call_number: AtomicU64::new(0),
--- a/crates/node/src/run/shutdown.rs
+++ b/crates/node/src/run/shutdown.rs
@@ -106,6 +106,7 @@
     let _ = servers.stop_others.send(true);
     let _ = timeout(ADMIN_GRACE, futures::future::join_all(servers.others)).await;
     if !calls_finished {
+        shared.grace_is_over.store(true, Ordering::Release);
         tracing::warn!("stopped with calls in flight; raise grace_ms");
     }
     tracing::info!("stopped");
--- a/crates/node/src/shared/state.rs
+++ b/crates/node/src/shared/state.rs
@@ -46,6 +46,8 @@
     pub disk_error_count: Option<Arc<AtomicU64>>,
     /// True once the process shuts down; never cleared.
     pub stopping: AtomicBool,
+    /// True once the time for calls in flight is over and the process ends; never cleared.
+    pub grace_is_over: AtomicBool,
     /// True while an operator drains this node: the node serves calls but is not ready.
     pub operator_draining: AtomicBool,
     /// The version of the configuration in force; notified on every change.
--- a/crates/node/tests/answers/front.rs
+++ b/crates/node/tests/answers/front.rs
@@ -115,6 +115,7 @@
             link_counters: Arc::default(),
             disk_error_count: None,
             stopping: AtomicBool::new(false),
+            grace_is_over: AtomicBool::new(false),
             operator_draining: AtomicBool::new(false),
             published_version: version_receiver,
             next_call_number: AtomicU64::new(0),
