Reproduce the cut of a silent but sound worker's stream

What callers saw: a stream that may be resumed ends without its last events while its worker is at work. The test fails on this code: the call answers 1.6 s of silence with "close, abort" where no retry is allowed.

--- a/crates/core/tests/call/main.rs
+++ b/crates/core/tests/call/main.rs
@@ -7,5 +7,6 @@
 mod attempts;
 mod exploration;
 mod fixture;
+mod silence;
 mod streaming;
 mod waiting;
