Keep the connection to an idle worker until another one continues its stream

Cause: a limit of silence (four pauses, 1 s at least) closed the connection to the worker before it was known whether another attempt is allowed, gets a slot, connects and answers. Where one of these failed, the response was aborted.

Change: at that limit the response is suspended and the other attempt is made beside it, at the same time as before. The connection to the idle worker is closed only when another worker's stream has begun, when the worker breaks off, or after the idle time-out of the match (giveUpMs on the platform). If the worker speaks first, or the attempt is not allowed or fails, the call continues with the worker.

Two expectations of a_stream_with_a_latency_target_... asked for the close at the limit, which is the fault; they now ask for the suspension, and for the close with the other worker's head.

--- a/crates/core/src/call/io.rs
+++ b/crates/core/src/call/io.rs
@@ -88,7 +88,8 @@
     AttemptFailed(FailurePoint),
     /// The head of the worker's response arrived.
     ResponseHead(ResponseHead),
-    /// A chunk of the worker's response arrived.
+    /// A chunk of the worker's response arrived. Before the head of another attempt, this and the two events below
+    /// are of the suspended response.
     ResponseChunk(Bytes),
     /// The worker's response is complete.
     ResponseEnd,
@@ -137,8 +138,14 @@
         /// The urgency that is sent to the worker.
         urgency: Option<u8>,
     },
-    /// Close the connection to the worker.
+    /// Close the connection to the worker of the current attempt.
     CloseConnection,
+    /// Keep the response that is being forwarded, and its connection, while another attempt is made.
+    SuspendResponse,
+    /// Continue with the suspended response.
+    RestoreResponse,
+    /// Close the connection of the suspended response.
+    CloseSuspended,
     /// Forward the head of the worker's response.
     ForwardHead,
     /// Forward a chunk of the response.
--- a/crates/core/src/call/machine.rs
+++ b/crates/core/src/call/machine.rs
@@ -8,7 +8,7 @@
 use super::progress::{CONNECT_TIMEOUT, Halt, StepResult};
 use super::release::{cancel, wake_calls};
 use super::state::{Call, CallRoute, CallState, Received};
-use super::steps::{admit, attempt, placement, quota, read_body, streaming};
+use super::steps::{admit, attempt, placement, quota, read_body, streaming, suspended};
 use crate::base::Micros;
 use crate::node::View;
 use std::ops::ControlFlow;
@@ -49,7 +49,7 @@
             CallState::QuotaGranted(call) => Some(call.state.slot_deadline.min(view.stale_at())),
             CallState::Connecting(call) => Some(call.state.since + CONNECT_TIMEOUT),
             CallState::AwaitingHead(call) => Some(call.state.granted.request.route.head_deadline(call.state.since)),
-            CallState::Streaming(call) => Some(call.state.stream.idle_deadline),
+            CallState::Streaming(call) => Some(call.state.stream.next_failover_at.min(call.idle_deadline())),
         }
     }
 
@@ -116,6 +116,15 @@
                 cancel(state, context, effects);
                 ControlFlow::Continue(CallState::Finished)
             }
+            (CallState::Streaming(call), event @ (Event::SlotAssigned(_) | Event::UnitGranted(_))) => {
+                self.return_late_grant(event, context, effects);
+                ControlFlow::Continue(CallState::Streaming(call))
+            }
+            (state, event @ (Event::ResponseChunk(_) | Event::ResponseEnd | Event::ResponseAborted))
+                if state.has_suspended_worker() =>
+            {
+                suspended::step(state, event, context, effects)
+            }
             (CallState::Received(call), _) => admit(call, context, effects),
             (CallState::Routed(call), Event::RequestBody(body)) => read_body(call, body, context, effects),
             (CallState::BodyRead(call), event) => quota::step(call, event, context, effects),
@@ -127,7 +136,7 @@
         }
     }
 
-    /// Returns a slot or a quota unit that was granted to a call that had already ended.
+    /// Returns a slot or a quota unit that was granted to a call that no longer waits for it.
     fn return_late_grant(&self, event: Event, context: &mut StepContext, effects: &mut Effects) {
         let Some(route) = &self.route else { return };
         let queue = match &event {
--- a/crates/core/src/call/release.rs
+++ b/crates/core/src/call/release.rs
@@ -38,7 +38,7 @@
 
 /// Cancels a call whose client disconnected: removes the call from its queue and releases what it holds.
 pub(super) fn cancel(state: CallState, context: &mut StepContext, effects: &mut Effects) {
-    let granted = match state {
+    let mut granted = match state {
         CallState::Received(_) | CallState::Routed(_) | CallState::Finished => return,
         CallState::BodyRead(call) => {
             context.shared.leave_quota_queue(&call.state.route.tenant.name, call.id);
@@ -53,12 +53,23 @@
             call.state.granted
         }
         // The request was sent and the call may have run, so its quota unit is consumed.
-        CallState::AwaitingHead(call) => return release_slot(&call.state.slot, context, effects),
+        CallState::AwaitingHead(mut call) => {
+            release_slot(&call.state.slot, context, effects);
+            return release_suspended(&mut call.state.granted, context, effects);
+        }
         CallState::Streaming(call) => return release_slot(&call.state.slot, context, effects),
     };
+    release_suspended(&mut granted, context, effects);
     refund_unused_unit(&granted, context, effects);
 }
 
+/// Releases the slot at the worker whose stream is idle, if the call has one.
+fn release_suspended(granted: &mut QuotaGranted, context: &mut StepContext, effects: &mut Effects) {
+    if let Some(slot) = granted.suspended.take() {
+        release_slot(&slot, context, effects);
+    }
+}
+
 /// Refunds the quota unit unless a worker may have run the call.
 pub(super) fn refund_unused_unit(granted: &QuotaGranted, context: &mut StepContext, effects: &mut Effects) {
     let tenant = &granted.request.route.tenant.name;
--- a/crates/core/src/call/state.rs
+++ b/crates/core/src/call/state.rs
@@ -14,11 +14,12 @@
 use crate::stream::EventSplitter;
 use std::sync::Arc;
 
-/// The minimum idle time-out of a stream that can be resumed at another worker, in microseconds.
-const MIN_RESUMABLE_IDLE_TIMEOUT: Micros = SEC;
+/// The minimum time without bytes after which a stream that can be resumed is requested at another worker, in
+/// microseconds.
+const MIN_FAILOVER_TIMEOUT: Micros = SEC;
 
-/// The idle time-out of a resumable stream, as a multiple of the largest gap allowed between its events.
-const IDLE_GAP_MULTIPLIER: u64 = 4;
+/// That time as a multiple of the largest gap allowed between the events of the stream.
+const FAILOVER_GAP_MULTIPLIER: u64 = 4;
 
 /// One call in the phase `S`.
 #[derive(Debug)]
@@ -84,8 +85,11 @@
     pub is_unit_parked: bool,
     /// The end of the wait for a slot, in microseconds.
     pub slot_deadline: Micros,
-    /// The response so far, if a worker's stream broke and is to be resumed at another worker.
+    /// The response so far, if a worker's stream broke or is idle and is to be resumed at another worker.
     pub stream: Option<ResponseStream>,
+    /// The slot at the worker whose stream is idle, while another attempt is made. The connection to this worker
+    /// stays open, and its next bytes end the attempt.
+    pub suspended: Option<ReservedSlot>,
 }
 
 /// The phase in which the call holds a slot and the connection to its worker is being opened.
@@ -200,17 +204,34 @@
     pub has_forwarded: bool,
     /// True if the current worker has sent a chunk.
     pub has_first_chunk: bool,
-    /// The event after which the current worker resumed the stream. The stream is not resumed a
+    /// The event after which the stream was last requested at another worker. The stream is not resumed a
     /// second time after the same event unless the match is idempotent.
     pub resumed_after: Option<u64>,
     /// The time at which the worker last sent bytes or the head, in microseconds.
     pub last_received_at: Micros,
-    /// The time at which the stream counts as broken unless another chunk arrives, in microseconds.
-    pub idle_deadline: Micros,
+    /// The time at which the stream is requested at another worker unless another chunk arrives, in microseconds.
+    pub next_failover_at: Micros,
     /// What broke the stream of the worker before; `None` while no worker's stream has broken.
     pub broken_by: Option<AbortCause>,
 }
 
+impl ResponseStream {
+    /// Whether an end of the body that was received now is complete. A body that is delimited only by the close of the
+    /// connection, or that ends within an event, can't be distinguished from a broken one and counts as broken.
+    #[must_use]
+    pub fn is_complete(&self) -> bool {
+        self.head.has_definite_end && self.events.as_ref().is_none_or(EventSplitter::is_between_events)
+    }
+}
+
+impl Call<Streaming> {
+    /// Returns the time at which the worker is left unless it sends bytes, in microseconds.
+    #[must_use]
+    pub fn idle_deadline(&self) -> Micros {
+        self.state.stream.last_received_at + self.state.granted.request.route.matched.idle_timeout
+    }
+}
+
 impl Call<BodyRead> {
     /// Returns the end of the wait for quota, in microseconds. The last quarter of the maximum wait
     /// is reserved for the wait for a slot.
@@ -261,13 +282,13 @@
         }
     }
 
-    /// Returns the idle time-out of the response, in microseconds. The time-out is shorter for a stream
-    /// that can be resumed at another worker.
+    /// Returns the time without bytes after which a stream is requested at another worker, in microseconds. The
+    /// worker is not left before the other one continues the stream, or the idle time-out of the match has passed.
     #[must_use]
-    pub fn stream_idle_timeout(&self) -> Micros {
+    pub fn failover_timeout(&self) -> Micros {
         let Match { max_stream_pause, resumable, idle_timeout, .. } = *self.matched;
         if max_stream_pause > 0 && resumable {
-            idle_timeout.min((IDLE_GAP_MULTIPLIER * max_stream_pause).max(MIN_RESUMABLE_IDLE_TIMEOUT))
+            idle_timeout.min((FAILOVER_GAP_MULTIPLIER * max_stream_pause).max(MIN_FAILOVER_TIMEOUT))
         } else {
             idle_timeout
         }
@@ -285,3 +306,17 @@
         self.tenant.urgency.or(self.matched.urgency)
     }
 }
+
+impl CallState {
+    /// Whether the connection to a worker whose stream is idle is open while another attempt is made.
+    #[must_use]
+    pub fn has_suspended_worker(&self) -> bool {
+        let granted = match self {
+            CallState::QuotaGranted(call) => &call.state,
+            CallState::Connecting(call) => &call.state.granted,
+            CallState::AwaitingHead(call) => &call.state.granted,
+            _ => return false,
+        };
+        granted.suspended.is_some()
+    }
+}
--- a/crates/core/src/call/steps/acquire_slot.rs
+++ b/crates/core/src/call/steps/acquire_slot.rs
@@ -1,6 +1,7 @@
 //! The transition from a granted quota unit to a slot at a worker: reserves a slot, waits for a slot,
 //! or ends the call.
 
+use super::suspension::{close_suspended, restore_after_failure};
 use crate::base::{Micros, SEC};
 use crate::call::abort::{AbortCause, FailoverObstacle, ResponseAbort};
 use crate::call::context::StepContext;
@@ -121,13 +122,18 @@
     end_without_slot(call, response, context, effects)
 }
 
-/// Ends a call that holds no slot: with a local response, or by an abort if a response was started.
+/// Ends a call that holds no slot: with a local response, or by an abort if a response was started. If the worker of
+/// that response is only idle, the call continues with it.
 pub(super) fn end_without_slot(
     call: Call<QuotaGranted>,
     response: LocalResponse,
     context: &mut StepContext,
     effects: &mut Effects,
 ) -> StepResult<CallState> {
+    let call = match restore_after_failure(call, context, effects) {
+        ControlFlow::Break(state) => return ControlFlow::Continue(state),
+        ControlFlow::Continue(call) => call,
+    };
     if call.state.stream.is_some() {
         return abort_stream(call, FailoverObstacle::AttemptFailed(response.reason), context, effects);
     }
@@ -137,14 +143,16 @@
 
 /// Aborts the response of a call whose worker's stream broke and which no other worker continues.
 pub(super) fn abort_stream(
-    call: Call<QuotaGranted>,
+    mut call: Call<QuotaGranted>,
     obstacle: FailoverObstacle,
     context: &mut StepContext,
     effects: &mut Effects,
 ) -> StepResult<CallState> {
+    close_suspended(&mut call.state, context, effects);
     refund_unused_unit(&call.state, context, effects);
     let stream = call.state.stream.as_ref();
-    let cause = stream.and_then(|stream| stream.broken_by).unwrap_or(AbortCause::WorkerBrokeOff);
+    // Only a revoked key ends a call whose worker is not broken.
+    let cause = stream.and_then(|stream| stream.broken_by).unwrap_or(AbortCause::KeyRevoked);
     let idle_time = stream.map_or(0, |stream| context.now.saturating_sub(stream.last_received_at));
     context.shared.aborts.add(cause);
     context.shared.counters.streams_aborted.increment();
--- a/crates/core/src/call/steps/acquire_unit.rs
+++ b/crates/core/src/call/steps/acquire_unit.rs
@@ -136,8 +136,14 @@
     context.shared.quota_wait.record(route.matched.kind, context.now.saturating_sub(call.received_at));
     // The last eighth of the maximum wait is left to the client for a retry.
     let slot_deadline = call.received_at + route.max_slot_wait() / 8 * 7;
-    let call =
-        call.map_state(|request| QuotaGranted { request, unit, is_unit_parked: false, slot_deadline, stream: None });
+    let call = call.map_state(|request| QuotaGranted {
+        request,
+        unit,
+        is_unit_parked: false,
+        slot_deadline,
+        stream: None,
+        suspended: None,
+    });
     acquire_slot::request_slot(call, context, effects)
 }
 
--- a/crates/core/src/call/steps/failover.rs
+++ b/crates/core/src/call/steps/failover.rs
@@ -11,7 +11,7 @@
 use crate::call::progress::StepResult;
 use crate::call::rejections::RejectionReason;
 use crate::call::release::release_slot;
-use crate::call::state::{Attempts, AwaitingHead, BodyRead, Call, CallState, Connecting, QuotaGranted};
+use crate::call::state::{Attempts, AwaitingHead, BodyRead, Call, CallState, Connecting, QuotaGranted, ResponseStream};
 use crate::placement::CallOutcome;
 use crate::retry::{Execution, FailurePoint, RetryDecision, decide};
 use crate::stream::EventSplitter;
@@ -163,21 +163,41 @@
     context: &mut StepContext,
     effects: &mut Effects,
 ) -> StepResult<CallState> {
-    if let Some(obstacle) = resume_obstacle(&mut call.state, context) {
+    let QuotaGranted { request, stream, .. } = &mut call.state;
+    let obstacle = match stream {
+        Some(stream) => resume_obstacle(request, stream, context),
+        None => Some(FailoverObstacle::NotResumable),
+    };
+    if let Some(obstacle) = obstacle {
         context.shared.counters.retries_denied.increment();
         return abort_stream(call, obstacle, context, effects);
     }
+    make_resume_attempt(call, context, effects)
+}
+
+/// Makes an attempt that continues the stream and is already withdrawn from the retry budget.
+pub(super) fn make_resume_attempt(
+    mut call: Call<QuotaGranted>,
+    context: &mut StepContext,
+    effects: &mut Effects,
+) -> StepResult<CallState> {
     context.shared.attempt_counters.record_retry(&call.state.request.route.pool, FailurePoint::Body);
+    if let Some(stream) = &mut call.state.stream {
+        stream.resumed_after = stream.events.as_ref().and_then(EventSplitter::resume_point).flatten();
+    }
     call.state.slot_deadline = context.now + call.state.request.route.matched.queue_timeout;
     request_slot(call, context, effects)
 }
 
 /// Returns what prevents another attempt to continue the stream; if nothing does, the attempt is withdrawn from the
 /// retry budget.
-fn resume_obstacle(granted: &mut QuotaGranted, context: &StepContext) -> Option<FailoverObstacle> {
-    let can_resume = can_resume(granted);
-    let BodyRead { attempts, route, .. } = &mut granted.request;
-    if !can_resume {
+pub(super) fn resume_obstacle(
+    request: &mut BodyRead,
+    stream: &ResponseStream,
+    context: &StepContext,
+) -> Option<FailoverObstacle> {
+    let BodyRead { attempts, route, .. } = request;
+    if !can_resume(stream, route.matched.idempotent) {
         Some(FailoverObstacle::NotResumable)
     } else if !attempts.allow_another(route, context.now) {
         Some(FailoverObstacle::NoAttemptLeft)
@@ -190,9 +210,7 @@
 
 /// Whether the stream has a point to resume from. Without a resume point the call would run again
 /// from its beginning, which only an idempotent call may do.
-fn can_resume(granted: &QuotaGranted) -> bool {
-    let Some(stream) = &granted.stream else { return false };
-    let idempotent = granted.request.route.matched.idempotent;
+fn can_resume(stream: &ResponseStream, idempotent: bool) -> bool {
     match stream.events.as_ref().and_then(EventSplitter::resume_point) {
         None => false,
         Some(None) => idempotent && !stream.has_forwarded,
--- a/crates/core/src/call/steps/mod.rs
+++ b/crates/core/src/call/steps/mod.rs
@@ -2,7 +2,8 @@
 //!
 //! The dependencies between the modules have no cycles: the phases (`admission`, `body`,
 //! `quota`, `placement`, `attempt`, `streaming`) use the transitions `acquire_unit`, `failover` and
-//! `response_stream`, of which the first two use `acquire_slot`. All may use `authorization`.
+//! `response_stream`, of which the first two use `acquire_slot`, and that `suspension`. `suspended` handles the events
+//! of a suspended response and uses `streaming`. All may use `authorization`.
 
 mod acquire_slot;
 mod acquire_unit;
@@ -15,6 +16,8 @@
 pub(super) mod quota;
 mod response_stream;
 pub(super) mod streaming;
+pub(super) mod suspended;
+mod suspension;
 
 pub(super) use admission::admit;
 pub(super) use body::read_body;
--- a/crates/core/src/call/steps/response_stream.rs
+++ b/crates/core/src/call/steps/response_stream.rs
@@ -1,7 +1,8 @@
 //! The transition from the head of a worker's response to its body.
 
+use super::suspension::close_suspended;
 use crate::call::context::StepContext;
-use crate::call::io::ResponseHead;
+use crate::call::io::{Effects, ResponseHead};
 use crate::call::state::{AwaitingHead, Call, CallState, ResponseStream, Streaming};
 use crate::stream::EventSplitter;
 
@@ -22,14 +23,21 @@
         has_first_chunk: false,
         resumed_after: None,
         last_received_at: context.now,
-        idle_deadline: context.now + route.stream_idle_timeout(),
+        next_failover_at: context.now + route.failover_timeout(),
         broken_by: None,
     };
     CallState::Streaming(call.map_state(|AwaitingHead { granted, slot, .. }| Streaming { granted, slot, stream }))
 }
 
-/// Continues a broken stream with the response of another worker.
-pub(super) fn resume_stream(call: Call<AwaitingHead>, head: ResponseHead, context: &StepContext) -> CallState {
+/// Continues a broken or idle stream with the response of another worker.
+/// Closes the connection to the worker whose stream is idle, if it is still open.
+pub(super) fn resume_stream(
+    mut call: Call<AwaitingHead>,
+    head: ResponseHead,
+    context: &mut StepContext,
+    effects: &mut Effects,
+) -> CallState {
+    close_suspended(&mut call.state.granted, context, effects);
     CallState::Streaming(call.map_state(|AwaitingHead { mut granted, slot, .. }| {
         let broken = granted.stream.take();
         let mut events = broken.as_ref().and_then(|stream| stream.events.clone());
@@ -43,7 +51,7 @@
             resumed_after: events.as_ref().and_then(EventSplitter::resume_point).flatten(),
             events,
             last_received_at: context.now,
-            idle_deadline: context.now + granted.request.route.stream_idle_timeout(),
+            next_failover_at: context.now + granted.request.route.failover_timeout(),
             broken_by: None,
         };
         Streaming { granted, slot, stream }
--- a/crates/core/src/call/steps/streaming.rs
+++ b/crates/core/src/call/steps/streaming.rs
@@ -1,13 +1,13 @@
 //! The phase `Streaming`: forwards a worker's response to the client.
 
-use super::failover::resume_elsewhere;
+use super::failover::{make_resume_attempt, resume_elsewhere, resume_obstacle};
+use super::suspension::suspend;
 use crate::call::abort::{AbortCause, FailoverObstacle, ResponseAbort};
 use crate::call::context::StepContext;
 use crate::call::io::{Effect, Effects, Event};
 use crate::call::progress::StepResult;
 use crate::call::release::release_slot;
-use crate::call::state::{Call, CallState, QuotaGranted, ResponseStream, Streaming};
-use crate::stream::EventSplitter;
+use crate::call::state::{Call, CallState, QuotaGranted, Streaming};
 use bytes::Bytes;
 use std::ops::ControlFlow;
 
@@ -20,7 +20,7 @@
 ) -> StepResult<CallState> {
     match event {
         Event::ResponseChunk(chunk) => forward_chunk(call, chunk, context, effects),
-        Event::ResponseEnd if is_complete(&call.state.stream) => {
+        Event::ResponseEnd if call.state.stream.is_complete() => {
             context.shared.counters.served.increment();
             release_slot(&call.state.slot, context, effects);
             effects.push(Effect::FinishResponse);
@@ -33,19 +33,14 @@
             context.shared.counters.streams_cut_on_revoke.increment();
             abort(call, AbortCause::KeyRevoked, context, effects)
         }
-        Event::Wake if context.now >= call.state.stream.idle_deadline => {
+        Event::Wake if context.now >= call.idle_deadline() => {
             handle_broken_stream(call, AbortCause::WorkerIdle, context, effects)
         }
+        Event::Wake if context.now >= call.state.stream.next_failover_at => fail_over_idle(call, context, effects),
         _ => ControlFlow::Continue(CallState::Streaming(call)),
     }
 }
 
-/// Whether the response ended completely. A body that is delimited only by the close of the connection,
-/// or that ends within an event, can't be distinguished from a broken one and counts as broken.
-fn is_complete(stream: &ResponseStream) -> bool {
-    stream.head.has_definite_end && stream.events.as_ref().is_none_or(EventSplitter::is_between_events)
-}
-
 fn forward_chunk(
     mut call: Call<Streaming>,
     chunk: Bytes,
@@ -57,7 +52,7 @@
         context.shared.engines.record_first_token(&slot.pool, &slot.endpoint.worker_id, slot.ticket, context.now);
     }
     stream.last_received_at = context.now;
-    stream.idle_deadline = context.now + granted.request.route.stream_idle_timeout();
+    stream.next_failover_at = context.now + granted.request.route.failover_timeout();
     if slot.endpoint.zone != context.shared.zone {
         context.shared.counters.cross_zone_bytes.add(chunk.len() as u64);
     }
@@ -93,6 +88,25 @@
     resume_elsewhere(call, context, effects)
 }
 
+/// Requests the stream at another worker, as the current one is idle. The connection to the current one stays open: if
+/// no attempt is allowed, or the attempt fails, the call waits for it.
+fn fail_over_idle(
+    mut call: Call<Streaming>,
+    context: &mut StepContext,
+    effects: &mut Effects,
+) -> StepResult<CallState> {
+    let Streaming { granted, slot, stream } = &mut call.state;
+    context.shared.eject_worker(slot);
+    stream.next_failover_at = context.now + granted.request.route.failover_timeout();
+    if resume_obstacle(&mut granted.request, stream, context).is_some() {
+        context.shared.counters.retries_denied.increment();
+        return ControlFlow::Continue(CallState::Streaming(call));
+    }
+    effects.push(Effect::SuspendResponse);
+    granted.request.attempts.excluded.push(slot.endpoint.worker_id.clone());
+    make_resume_attempt(suspend(call), context, effects)
+}
+
 fn abort(
     call: Call<Streaming>,
     cause: AbortCause,
--- a/crates/core/tests/call/exploration.rs
+++ b/crates/core/tests/call/exploration.rs
@@ -4,6 +4,7 @@
 
 use super::fixture::*;
 use std::sync::Arc;
+use sumacvale_core::call::AbortCause;
 use sumacvale_core::config::CompiledConfig;
 
 /// A possible next event of the environment.
@@ -43,6 +44,10 @@
     End,
     ResponseAborts,
     StreamIdles,
+    /// The worker whose stream is suspended sends its next event, ends, or breaks off.
+    SuspendedEvent,
+    SuspendedEnd,
+    SuspendedAborts,
     /// The lease holder grants units, answers that the window is exhausted, or does not answer in time.
     UnitsGranted,
     WindowExhausted,
@@ -133,6 +138,9 @@
     }
 }
 
+/// The events of a worker whose response is suspended, in addition to those of the other attempt.
+const SUSPENDED_CHOICES: [Choice; 3] = [Choice::SuspendedEvent, Choice::SuspendedEnd, Choice::SuspendedAborts];
+
 /// A route of the configuration, with the properties that the invariants depend on.
 #[derive(Clone, Copy, Debug)]
 struct Route {
@@ -170,6 +178,9 @@
     Route { path: "/draft", is_stream: true, max_attempts: 16, has_latency_target: false, ..PLAIN },
 ];
 
+/// The shortest `idle_ms` of the routes: a worker that is silent for less is not left.
+const IDLE_TIMEOUT: Micros = 9 * SEC;
+
 /// The number of retries in the retry budget at the beginning.
 const FUNDED_RETRIES: usize = 2;
 
@@ -187,13 +198,24 @@
     local_status: Option<u16>,
     head_forwarded: bool,
     response_ended: bool,
-    /// True if the end of the current response can be distinguished from a broken connection.
-    has_definite_end: bool,
     /// The numbers of the events that were forwarded to the client.
     forwarded_ids: Vec<u64>,
-    /// The status of the last head.
+    /// The response of the current attempt.
+    response: WorkerResponse,
+    /// The response that is suspended.
+    suspended: Option<WorkerResponse>,
+    /// True if the last choice broke the suspended response.
+    suspended_broke: bool,
+}
+
+/// What a worker has sent of its response.
+#[derive(Clone, Copy, Debug, Default)]
+struct WorkerResponse {
+    /// The status of the head.
     status: u16,
-    /// True if the current response is an event stream.
+    /// True if the end of the response can be distinguished from a broken connection.
+    has_definite_end: bool,
+    /// True if the response is an event stream.
     is_event_stream: bool,
     /// The number of the event that the worker sends next.
     next_id: u64,
@@ -201,6 +223,19 @@
     has_partial_event: bool,
 }
 
+impl WorkerResponse {
+    /// Returns the bytes that complete the next event, or the event with number `id`.
+    fn event_chunk(&mut self, id: u64) -> Event {
+        let rest = if std::mem::take(&mut self.has_partial_event) {
+            "ta: a\n\n".into()
+        } else {
+            format!("id: {id}\ndata: a\n\n")
+        };
+        self.next_id = id + 1;
+        Event::ResponseChunk(Bytes::from(rest))
+    }
+}
+
 impl Environment {
     fn new(route: Route, configs: &Configs) -> Environment {
         let config = if route.has_latency_target { &configs.latency_target } else { &configs.plain };
@@ -218,12 +253,10 @@
             local_status: None,
             head_forwarded: false,
             response_ended: false,
-            has_definite_end: false,
-            status: 0,
-            is_event_stream: false,
             forwarded_ids: Vec::new(),
-            next_id: 0,
-            has_partial_event: false,
+            response: WorkerResponse::default(),
+            suspended: None,
+            suspended_broke: false,
         }
     }
 
@@ -235,7 +268,7 @@
     }
 
     fn event(&mut self, choice: Choice, configs: &Configs) -> Option<Event> {
-        let is_event_stream = self.is_event_stream;
+        let is_event_stream = self.response.is_event_stream;
         Some(match choice {
             Choice::Wake => Event::Wake,
             Choice::BodyReceived => Event::RequestBody(Ok(Bytes::from_static(b"{\"prompt\":\"x\"}"))),
@@ -287,28 +320,43 @@
                     *self.possible_runs.last_mut()? = false;
                 }
                 let is_event_stream = self.route.is_stream && status == 200;
-                self.is_event_stream = is_event_stream;
-                self.status = status;
-                self.has_definite_end = kind != HeadKind::Unbounded;
-                self.next_id =
+                let has_definite_end = kind != HeadKind::Unbounded;
+                let next_id =
                     if self.head_forwarded { self.forwarded_ids.last().map_or(0, |last| last + 1) } else { 0 };
-                self.has_partial_event = false;
+                let has_partial_event = false;
+                self.response =
+                    WorkerResponse { status, has_definite_end, is_event_stream, next_id, has_partial_event };
                 Event::ResponseHead(ResponseHead {
                     status,
                     is_event_stream,
-                    has_definite_end: self.has_definite_end,
+                    has_definite_end,
                     not_run,
                     is_foreign,
                     load: None,
                 })
             }
             Choice::NextEvent if !is_event_stream => Event::ResponseChunk(Bytes::from_static(b"ok")),
-            Choice::NextEvent => self.event_chunk(self.next_id),
-            Choice::RepeatedEvent if is_event_stream && self.next_id > 0 => self.event_chunk(self.next_id - 1),
-            Choice::SkippedEvent if is_event_stream => self.event_chunk(self.next_id + 1),
-            Choice::PartialEvent if is_event_stream && !self.has_partial_event => {
-                self.has_partial_event = true;
-                Event::ResponseChunk(Bytes::from(format!("id: {}\nda", self.next_id)))
+            Choice::NextEvent => self.response.event_chunk(self.response.next_id),
+            Choice::RepeatedEvent if is_event_stream && self.response.next_id > 0 => {
+                self.response.event_chunk(self.response.next_id - 1)
+            }
+            Choice::SkippedEvent if is_event_stream => self.response.event_chunk(self.response.next_id + 1),
+            Choice::PartialEvent if is_event_stream && !self.response.has_partial_event => {
+                self.response.has_partial_event = true;
+                Event::ResponseChunk(Bytes::from(format!("id: {}\nda", self.response.next_id)))
+            }
+            Choice::SuspendedEvent => {
+                let suspended = self.suspended.as_mut()?;
+                suspended.event_chunk(suspended.next_id)
+            }
+            Choice::SuspendedEnd => {
+                self.suspended_broke = self.suspended?.has_partial_event || !self.suspended?.has_definite_end;
+                Event::ResponseEnd
+            }
+            Choice::SuspendedAborts => {
+                self.suspended?;
+                self.suspended_broke = true;
+                Event::ResponseAborted
             }
             Choice::RepeatedEvent | Choice::SkippedEvent | Choice::PartialEvent => return None,
             Choice::End => Event::ResponseEnd,
@@ -330,18 +378,15 @@
         })
     }
 
-    fn event_chunk(&mut self, id: u64) -> Event {
-        let rest = if std::mem::take(&mut self.has_partial_event) {
-            "ta: a\n\n".into()
-        } else {
-            format!("id: {id}\ndata: a\n\n")
-        };
-        self.next_id = id + 1;
-        Event::ResponseChunk(Bytes::from(rest))
+    /// Returns the events that are possible next.
+    fn choices(&self) -> Vec<Choice> {
+        let suspended: &[Choice] = if self.suspended.is_some() { &SUSPENDED_CHOICES } else { &[] };
+        [self.awaited.choices(), suspended].concat()
     }
 
     /// Performs one choice. Returns `None` if the choice is impossible now.
     fn step(&mut self, choice: Choice, configs: &Configs) -> Option<Result<(), String>> {
+        self.suspended_broke = false;
         let event = self.event(choice, configs)?;
         let mut awaited_next = None;
         for effect in self.fixture.effects(event) {
@@ -387,7 +432,10 @@
             }
             Effect::ForwardHead => {
                 check(self.local_status.is_none() && !self.head_forwarded, "two responses")?;
-                check(!NOT_RUN_STATUSES.contains(&self.status), "a status that guarantees no run is forwarded")?;
+                check(
+                    !NOT_RUN_STATUSES.contains(&self.response.status),
+                    "a status that guarantees no run is forwarded",
+                )?;
                 self.head_forwarded = true;
             }
             Effect::ForwardChunk(chunk) => {
@@ -398,12 +446,15 @@
             }
             Effect::FinishResponse => {
                 check(self.head_forwarded && !self.response_ended, "an end without a head")?;
-                check(self.has_definite_end, "a broken response that looks complete")?;
-                check(!self.has_partial_event, "a stream that ends within an event and looks complete")?;
+                check(self.response.has_definite_end, "a broken response that looks complete")?;
+                check(!self.response.has_partial_event, "a stream that ends within an event and looks complete")?;
                 self.response_ended = true;
             }
-            Effect::AbortResponse(_) => {
+            Effect::AbortResponse(abort) => {
                 check(self.head_forwarded && !self.response_ended, "an abort without a head")?;
+                check(self.suspended.is_none(), "an abort while a worker may be at work")?;
+                let is_idle_too_long = abort.idle_time >= IDLE_TIMEOUT;
+                check(abort.cause != AbortCause::WorkerIdle || is_idle_too_long, "an abort for a short silence")?;
                 self.response_ended = true;
             }
             Effect::Respond(response) => {
@@ -417,6 +468,19 @@
                 check(!may_have_run || response.execution.name() != "no", "reported as not run, but it may have run")?;
                 self.local_status = Some(response.status);
             }
+            Effect::SuspendResponse => {
+                check(self.suspended.is_none(), "two suspended responses")?;
+                self.suspended = Some(self.response);
+            }
+            Effect::RestoreResponse => {
+                self.response = self.suspended.take().ok_or("no suspended response to restore")?;
+            }
+            Effect::CloseSuspended => {
+                let is_replaced = self.awaited == Awaited::ResponseHead && self.response.is_event_stream;
+                let is_revoked = self.fixture.view.version == Some(2);
+                check(self.suspended_broke || is_replaced || is_revoked, "a worker at work is left")?;
+                check(self.suspended.take().is_some(), "no suspended response to close")?;
+            }
             Effect::CloseConnection | Effect::RequestUnits { .. } | Effect::WakeCall(_) => {}
         }
         Ok(())
@@ -432,6 +496,10 @@
             let occupied = if self.route.without_slot { 12 } else { 0 };
             let Holdings { in_flight, waiting, .. } = self.fixture.holdings();
             check(in_flight <= occupied && waiting == (0, 0), "a finished call holds a slot or waits in a queue")?;
+        } else if self.awaited != Awaited::Nothing {
+            let is_suspended = u64::from(self.suspended.is_some());
+            let Holdings { in_flight, .. } = self.fixture.holdings();
+            check(self.route.without_slot || in_flight <= 1 + is_suspended, "a slot that nothing uses")?;
         }
         Ok(())
     }
@@ -457,6 +525,9 @@
 /// The maximum number of events on a path. The first three are the head, the body and the connection.
 const DEPTH: usize = 8;
 
+/// The number of events after the silence of a worker.
+const DEPTH_AFTER_SILENCE: usize = 4;
+
 /// Replays a path. Returns `None` if its last step is impossible, else whether an invariant was violated.
 fn replay(route: Route, path: &[Choice], configs: &Configs) -> Option<(Environment, Result<(), String>)> {
     let mut environment = Environment::new(route, configs);
@@ -469,30 +540,56 @@
     Some((environment, Ok(())))
 }
 
-#[test]
-fn every_order_of_events_keeps_the_invariants() {
+/// The number of explored paths, and of those to the end of the call.
+#[derive(Debug, Default)]
+struct Explored {
+    paths: u64,
+    finished: u64,
+}
+
+/// Explores all paths of a call that begin with `prefix`, up to `depth` events.
+fn explore(route: Route, prefix: &[Choice], depth: usize, explored: &mut Explored) {
     let configs = Configs {
         plain: config(true),
         latency_target: latency_target_config("\"pool\":\"p\"", 1),
         key_revoked: config(false),
         route_moved: latency_target_config("\"pool\":\"q\"", 2),
     };
-    let (mut paths, mut finished) = (0u64, 0u64);
-    for route in ROUTES {
-        let mut pending_paths = vec![Vec::new()];
-        while let Some(path) = pending_paths.pop() {
-            let Some((environment, outcome)) = replay(route, &path, &configs) else { continue };
-            paths += 1;
-            if let Err(violation) = outcome {
-                panic!("{violation}: {} after {path:?}", route.path);
-            }
-            finished += u64::from(environment.fixture.machine.is_finished());
-            if path.len() < DEPTH {
-                pending_paths
-                    .extend(environment.awaited.choices().iter().map(|choice| [&path[..], &[*choice]].concat()));
-            }
+    let mut pending_paths = vec![prefix.to_vec()];
+    while let Some(path) = pending_paths.pop() {
+        let Some((environment, outcome)) = replay(route, &path, &configs) else { continue };
+        explored.paths += 1;
+        if let Err(violation) = outcome {
+            panic!("{violation}: {} after {path:?}", route.path);
         }
+        explored.finished += u64::from(environment.fixture.machine.is_finished());
+        if path.len() < depth {
+            pending_paths.extend(environment.choices().iter().map(|choice| [&path[..], &[*choice]].concat()));
+        }
+    }
+}
+
+#[test]
+fn every_order_of_events_keeps_the_invariants() {
+    let mut explored = Explored::default();
+    for route in ROUTES {
+        explore(route, &[], DEPTH, &mut explored);
+    }
+    let Explored { paths, finished } = explored;
+    println!("{paths} paths, {finished} to the end of the call");
+    assert!(paths > 10_000 && finished > 5_000, "{paths} paths, {finished} to the end: too few are explored");
+}
+
+#[test]
+fn every_order_of_events_after_a_silence_keeps_the_invariants() {
+    let mut explored = Explored::default();
+    let route = Route { path: "/flow/x", idempotent: true, is_stream: true, max_attempts: 16, ..PLAIN };
+    let (head, after) = (Choice::Head(200, HeadKind::Plain), [Choice::NextEvent, Choice::PartialEvent]);
+    for last in after {
+        let prefix = [Choice::Wake, Choice::BodyReceived, Choice::Connected, head, last, Choice::StreamIdles];
+        explore(route, &prefix, prefix.len() + DEPTH_AFTER_SILENCE, &mut explored);
     }
+    let Explored { paths, finished } = explored;
     println!("{paths} paths, {finished} to the end of the call");
     assert!(paths > 10_000 && finished > 5_000, "{paths} paths, {finished} to the end: too few are explored");
 }
--- a/crates/core/tests/call/fixture.rs
+++ b/crates/core/tests/call/fixture.rs
@@ -242,6 +242,9 @@
                 format!("send{after} window {window}{until}{urgency}")
             }
             Effect::CloseConnection => "close".into(),
+            Effect::SuspendResponse => "suspend".into(),
+            Effect::RestoreResponse => "restore".into(),
+            Effect::CloseSuspended => "close suspended".into(),
             Effect::ForwardHead => "forward head".into(),
             Effect::ForwardChunk(chunk) => format!("forward {}", chunk.len()),
             Effect::FinishResponse => "finish".into(),
--- a/crates/core/tests/call/streaming.rs
+++ b/crates/core/tests/call/streaming.rs
@@ -146,7 +146,7 @@
 #[test]
 fn a_stream_with_a_latency_target_is_finished_resumed_or_aborted() {
     let first_event = "id: 0\ndata: a\n\n";
-    let other = "close, connect elsewhere";
+    let other = "suspend, connect elsewhere";
     check_with_latency_target(vec![
         (
             "a resumable stream that is idle for a second",
@@ -165,7 +165,7 @@
                     (Advance(MS), ""),
                     (Deliver(Event::Wake), other),
                     (Deliver(Event::Connected), "send after 0 window 1"),
-                    (ok_head(true, true), ""),
+                    (ok_head(true, true), "close suspended"),
                     (chunk("id: 1\ndata: b\n\n"), "forward 15"),
                     (Deliver(Event::ResponseEnd), "finish"),
                 ],
@@ -207,7 +207,7 @@
                     (Advance(SEC), ""),
                     (Deliver(Event::Wake), other),
                     (Deliver(Event::Connected), "send window 1"),
-                    (ok_head(true, true), ""),
+                    (ok_head(true, true), "close suspended"),
                     (chunk(first_event), "forward 15"),
                     (Deliver(Event::ResponseEnd), "finish"),
                 ],
--- a/crates/node/src/front/call_task.rs
+++ b/crates/node/src/front/call_task.rs
@@ -46,7 +46,36 @@
     /// A read of the request body, a connect or a send.
     Operation(Pin<Box<dyn Future<Output = IoOutcome> + Send>>),
     /// The body of the response is read chunk by chunk.
-    ResponseBody(BodyStream<Incoming>, UpstreamConnection<Responding>),
+    ResponseBody(ResponseBody),
+}
+
+/// The body of a worker's response, and its connection.
+struct ResponseBody {
+    body: BodyStream<Incoming>,
+    connection: UpstreamConnection<Responding>,
+}
+
+impl ResponseBody {
+    /// Waits for the next event of the response.
+    async fn next_event(&mut self) -> Event {
+        loop {
+            match self.body.next().await {
+                None => return Event::ResponseEnd,
+                Some(Err(_)) => return Event::ResponseAborted,
+                Some(Ok(frame)) => {
+                    if let Ok(chunk) = frame.into_data() {
+                        return Event::ResponseChunk(chunk);
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// The response of an idle worker, which is kept while another attempt is made.
+struct SuspendedResponse {
+    response: ResponseBody,
+    endpoint: Option<Endpoint>,
 }
 
 /// One call with its connections and buffers. Dropping it tells the state machine that the client
@@ -82,6 +111,7 @@
     /// these bytes.
     remaining_bytes: Option<u64>,
     pending_io: PendingIo,
+    suspended: Option<SuspendedResponse>,
     timer: CallTimer,
 }
 
@@ -142,6 +172,7 @@
             response_head: None,
             remaining_bytes: None,
             pending_io: PendingIo::Nothing,
+            suspended: None,
             timer: CallTimer::default(),
             shared,
         }
@@ -208,10 +239,10 @@
                         };
                     }
                     Effect::FinishResponse => {
-                        if let PendingIo::ResponseBody(_, connection) =
+                        if let PendingIo::ResponseBody(response) =
                             std::mem::replace(&mut self.pending_io, PendingIo::Nothing)
                         {
-                            connection.return_idle(&self.shared.upstreams);
+                            response.connection.return_idle(&self.shared.upstreams);
                         }
                         return None;
                     }
@@ -322,6 +353,19 @@
                 self.connection = None;
                 self.pending_io = PendingIo::Nothing;
             }
+            Effect::SuspendResponse => {
+                if let PendingIo::ResponseBody(response) = std::mem::replace(&mut self.pending_io, PendingIo::Nothing) {
+                    self.suspended = Some(SuspendedResponse { response, endpoint: self.endpoint.clone() });
+                }
+            }
+            Effect::RestoreResponse => {
+                self.connection = None;
+                if let Some(SuspendedResponse { response, endpoint }) = self.suspended.take() {
+                    self.pending_io = PendingIo::ResponseBody(response);
+                    self.endpoint = endpoint;
+                }
+            }
+            Effect::CloseSuspended => self.suspended = None,
             _ => {}
         }
     }
@@ -329,11 +373,12 @@
     /// Awaits the first event of this call. I/O comes before the timer where both are ready.
     async fn next_event(&mut self) -> Event {
         let due = self.machine.next_wake(&self.shared.view.load());
-        let (wants_new_view, is_streaming) = (self.machine.wants_new_view(), self.machine.is_streaming());
+        let wants_new_view = self.machine.wants_new_view();
         let outcome = tokio::select! {
             biased;
             Ok(()) = self.version_changed.changed(), if wants_new_view => return Event::Wake,
-            Some(event) = self.events.recv(), if !is_streaming => return event,
+            Some(event) = self.events.recv() => return event,
+            event = next_suspended_event(&mut self.suspended) => return event,
             outcome = wait_for_io(&mut self.pending_io) => outcome,
             () = self.timer.until(due) => return Event::Wake,
         };
@@ -371,7 +416,7 @@
                 let reply = headers::response_head(&self.shared.adapter.headers, &response, &self.request);
                 let (parts, body) = response.into_parts();
                 self.response_head = Some(parts);
-                self.pending_io = PendingIo::ResponseBody(BodyStream::new(body), connection);
+                self.pending_io = PendingIo::ResponseBody(ResponseBody { body: BodyStream::new(body), connection });
                 Event::ResponseHead(reply)
             }
         }
@@ -383,17 +428,15 @@
     match pending_io {
         PendingIo::Nothing => std::future::pending().await,
         PendingIo::Operation(operation) => Err(operation.await),
-        PendingIo::ResponseBody(body, _) => loop {
-            match body.next().await {
-                None => return Ok(Event::ResponseEnd),
-                Some(Err(_)) => return Ok(Event::ResponseAborted),
-                Some(Ok(frame)) => {
-                    if let Ok(chunk) = frame.into_data() {
-                        return Ok(Event::ResponseChunk(chunk));
-                    }
-                }
-            }
-        },
+        PendingIo::ResponseBody(response) => Ok(response.next_event().await),
+    }
+}
+
+/// Waits for the next event of the suspended response; forever if there is none.
+async fn next_suspended_event(suspended: &mut Option<SuspendedResponse>) -> Event {
+    match suspended {
+        Some(suspended) => suspended.response.next_event().await,
+        None => std::future::pending().await,
     }
 }
 
--- a/crates/testbed/src/sim/calls/call_driver.rs
+++ b/crates/testbed/src/sim/calls/call_driver.rs
@@ -1,6 +1,6 @@
 //! Drives the calls of simulated processes: steps their state machines and executes the effects.
 
-use crate::sim::calls::call_registry::ActiveCall;
+use crate::sim::calls::call_registry::{ActiveCall, AttemptConnection};
 use crate::sim::calls::outcome::{CallOutcome, CallRequest, ClientObservation};
 use crate::sim::event::SimEvent;
 use crate::sim::operators::documents::pool_of;
@@ -52,8 +52,9 @@
             started_at: self.now,
             first_byte_at: None,
             response_body: Vec::new(),
-            attempt: 0,
-            worker: None,
+            attempts: 0,
+            connection: None,
+            suspended: None,
             timer_at: 0,
         };
         self.machines[machine].calls.active.insert(call, Box::new(active));
@@ -144,7 +145,10 @@
     /// Delivers an event of a worker to its call, unless the call has given up that attempt.
     pub(in crate::sim) fn handle_attempt_event(&mut self, origin: AttemptOrigin, event: Event) {
         let machine = &self.machines[origin.machine];
-        let is_current = |call: &ActiveCall| call.attempt == origin.attempt && call.worker.is_some();
+        let is_current = |call: &ActiveCall| {
+            let is_of_attempt = |connection: &AttemptConnection| connection.attempt == origin.attempt;
+            call.connection.iter().chain(&call.suspended).any(is_of_attempt)
+        };
         if machine.incarnation == origin.incarnation
             && machine.calls.active.get(&origin.call).is_some_and(|call| is_current(call))
         {
@@ -165,6 +169,7 @@
         match result.observation {
             Some(observation) => {
                 self.close_connection(machine, number, &mut call);
+                self.close_suspended(machine, number, &mut call);
                 self.record_outcome(machine, number, *call, observation);
             }
             None => {
@@ -193,6 +198,9 @@
                 self.send_request(machine, number, call, last_event_id, window);
             }
             Effect::CloseConnection => self.close_connection(machine, number, call),
+            Effect::SuspendResponse => call.suspended = call.connection.take(),
+            Effect::RestoreResponse => call.connection = call.suspended.take(),
+            Effect::CloseSuspended => self.close_suspended(machine, number, call),
             Effect::ForwardHead => {
                 call.first_byte_at = Some(self.now);
                 self.last_accepted_call = Some((machine, self.now));
@@ -242,15 +250,15 @@
             first_byte_at: call.first_byte_at,
             ended_at: self.now,
             body: call.response_body,
-            was_attempted: call.attempt > 0,
+            was_attempted: call.attempts > 0,
             observation,
         });
     }
 
-    /// The origin of the call's current attempt.
-    fn attempt_origin(&self, machine: usize, number: u64, call: &ActiveCall) -> AttemptOrigin {
+    /// The origin of an attempt of the call.
+    fn attempt_origin(&self, machine: usize, number: u64, attempt: u64) -> AttemptOrigin {
         let incarnation = self.machines[machine].incarnation;
-        AttemptOrigin { machine, incarnation, call: number, attempt: call.attempt }
+        AttemptOrigin { machine, incarnation, call: number, attempt }
     }
 
     /// Connects to the worker whose index is one less than the last octet of the address.
@@ -259,14 +267,14 @@
             IpAddr::V4(ip) => usize::from(ip.octets()[3]) - 1,
             IpAddr::V6(_) => return,
         };
-        call.attempt += 1;
+        call.attempts += 1;
         let state = &self.workers[worker];
-        call.worker = Some((worker, state.incarnation));
+        call.connection = Some(AttemptConnection { attempt: call.attempts, worker, incarnation: state.incarnation });
         if state.behaviour_at(self.now) == WorkerBehaviour::Unreachable {
             return;
         }
         let event = if state.is_running { Event::Connected } else { Event::AttemptFailed(FailurePoint::Connect) };
-        let origin = self.attempt_origin(machine, number, call);
+        let origin = self.attempt_origin(machine, number, call.attempts);
         let due = self.now + 2 * self.worker_latency(machine, worker);
         self.schedule(due, SimEvent::Attempt(origin, event));
     }
@@ -280,9 +288,9 @@
         last_event_id: Option<u64>,
         quota_window: u64,
     ) {
-        let Some((worker, incarnation)) = call.worker else { return };
+        let Some(AttemptConnection { attempt, worker, incarnation }) = call.connection else { return };
         let request = WorkerRequest {
-            origin: self.attempt_origin(machine, number, call),
+            origin: self.attempt_origin(machine, number, attempt),
             tenant: call.request.tenant.clone(),
             path: call.request.path,
             last_event_id,
@@ -295,9 +303,15 @@
 
     /// Closes the connection of the current attempt, if any; the worker stops its request.
     fn close_connection(&mut self, machine: usize, number: u64, call: &mut ActiveCall) {
-        if let Some((worker, _)) = call.worker.take() {
-            let origin = self.attempt_origin(machine, number, call);
-            self.cancel_request(worker, origin);
+        if let Some(AttemptConnection { attempt, worker, .. }) = call.connection.take() {
+            self.cancel_request(worker, self.attempt_origin(machine, number, attempt));
+        }
+    }
+
+    /// Closes the connection of the suspended response, if any; the worker stops its request.
+    fn close_suspended(&mut self, machine: usize, number: u64, call: &mut ActiveCall) {
+        if let Some(AttemptConnection { attempt, worker, .. }) = call.suspended.take() {
+            self.cancel_request(worker, self.attempt_origin(machine, number, attempt));
         }
     }
 
@@ -311,6 +325,7 @@
         self.quota_units_expired += counters.units_expired.get();
         for (number, mut call) in std::mem::take(&mut self.machines[machine].calls.active) {
             self.close_connection(machine, number, &mut call);
+            self.close_suspended(machine, number, &mut call);
             self.record_outcome(machine, number, *call, ClientObservation::NodeLost);
         }
     }
--- a/crates/testbed/src/sim/calls/call_registry.rs
+++ b/crates/testbed/src/sim/calls/call_registry.rs
@@ -7,6 +7,17 @@
 use sumacvale_core::call::{CallMachine, SharedCallState, ThreadCaches};
 use sumacvale_core::node::View;
 
+/// The connection of an attempt.
+#[derive(Clone, Copy, Debug)]
+pub struct AttemptConnection {
+    /// The number of the attempt, from 1.
+    pub(in crate::sim) attempt: u64,
+    /// The index of the worker.
+    pub(in crate::sim) worker: usize,
+    /// The worker's incarnation when the connection was opened.
+    pub(in crate::sim) incarnation: u64,
+}
+
 /// A call that has not ended.
 #[derive(Debug)]
 pub struct ActiveCall {
@@ -17,10 +28,12 @@
     /// When the response head was forwarded, in microseconds of true time.
     pub(in crate::sim) first_byte_at: Option<Micros>,
     pub(in crate::sim) response_body: Vec<u8>,
-    /// The number of the current attempt; 0 before the first.
-    pub(in crate::sim) attempt: u64,
-    /// The connected worker and its incarnation when the connection was opened.
-    pub(in crate::sim) worker: Option<(usize, u64)>,
+    /// The number of attempts so far.
+    pub(in crate::sim) attempts: u64,
+    /// The connection of the current attempt.
+    pub(in crate::sim) connection: Option<AttemptConnection>,
+    /// The connection of the suspended response.
+    pub(in crate::sim) suspended: Option<AttemptConnection>,
     /// When the call's timer expires; 0 while none is set.
     pub(in crate::sim) timer_at: Micros,
 }
