Pass on a response without a length as complete if its connection closed in order

Cause: has_definite_end took every such end for a break, although a close and a reset of the connection are told apart.

Change: only a transfer coding other than chunked makes an end that can't be told from a break. A reset of a body without a length stays a break.

--- a/crates/core/src/call/io.rs
+++ b/crates/core/src/call/io.rs
@@ -42,7 +42,7 @@
     pub status: u16,
     /// True if the body is a stream of server-sent events.
     pub is_event_stream: bool,
-    /// True if the end of the body can be distinguished from a broken connection.
+    /// True if a complete end of the body can be distinguished from a broken connection.
     pub has_definite_end: bool,
     /// True if the worker states that it did not run the call.
     pub not_run: bool,
--- a/crates/core/src/call/state.rs
+++ b/crates/core/src/call/state.rs
@@ -216,8 +216,8 @@
 }
 
 impl ResponseStream {
-    /// Whether an end of the body that was received now is complete. A body that is delimited only by the close of the
-    /// connection, or that ends within an event, can't be distinguished from a broken one and counts as broken.
+    /// Whether an end of the body that was received now is complete. A body whose end can't be distinguished from a
+    /// break, or that ends within an event, counts as broken.
     #[must_use]
     pub fn is_complete(&self) -> bool {
         self.head.has_definite_end && self.events.as_ref().is_none_or(EventSplitter::is_between_events)
--- a/crates/node/src/front/headers.rs
+++ b/crates/node/src/front/headers.rs
@@ -184,11 +184,12 @@
         .is_some_and(|coding| coding.trim().eq_ignore_ascii_case("chunked"))
 }
 
-/// Returns true if the end of a response can be told from a broken connection.
+/// Returns true if the end of a response can be told from a broken connection. A body without a length and without a
+/// transfer coding ends with its connection: an orderly close completes it, a reset does not. Source: RFC 9112,
+/// section 6.3.
 fn has_definite_end(method: &Method, status: u16, headers: &HeaderMap) -> bool {
     let without_body = matches!(status, 204 | 304) || method == Method::HEAD;
-    let has_length = headers.contains_key(header::CONTENT_LENGTH) && !headers.contains_key(header::TRANSFER_ENCODING);
-    without_body || has_length || is_chunked(headers)
+    without_body || !headers.contains_key(header::TRANSFER_ENCODING) || is_chunked(headers)
 }
 
 /// Returns what the core needs to know of a worker's response. A statement that the request did not run counts
--- a/crates/testbed/src/standin/mod.rs
+++ b/crates/testbed/src/standin/mod.rs
@@ -10,6 +10,6 @@
 pub use client::{ClientObservation, ClientRecord, StandInClient};
 pub use http::{HttpClient, http_client, request_text, send_request};
 pub use log::{WorkerArrival, WorkerLog, WorkerRun};
-pub use raw::start_raw_worker;
+pub use raw::{ConnectionEnd, RawResponse, start_raw_worker};
 pub use relay::{LinkState, Relay};
 pub use worker::{StandInWorker, WorkerMode, WorkerSpec};
