Ignore SIGHUP until it is handled, so that it ends no node and no call

What callers saw: all calls of a node were cut when it got SIGHUP. The program sumacvale, which has no settings to reload, installed no handler at all; sumacvale-platform installs one, but only once it serves. The default action ends the process.

Change: SIGHUP is ignored from the start of a process; the reload's handler replaces that. The first check of the settings file after the start reads it again, since a signal before the handler is not seen.

--- a/crates/node/src/run/mod.rs
+++ b/crates/node/src/run/mod.rs
@@ -62,10 +62,20 @@
 pub fn run(setup: NodeSetup) -> Result<(), StartError> {
     let NodeSetup { settings, adapter, caller_routes, extra_listeners, reload } = setup;
     ignore_file_size_signal();
+    ignore_hangup();
     let started = bootstrap::start(settings, adapter, extra_listeners)?;
     started.runtime.block_on(shutdown::serve_until_signal(started.shared, started.listeners, caller_routes, reload))
 }
 
+/// Ignores SIGHUP, which would end the process, until the module `reload` handles it: a node that keeps the settings of
+/// its start never does, and any node may get the signal while it starts.
+fn ignore_hangup() {
+    // SAFETY: ignoring a signal accesses no memory of this process.
+    unsafe {
+        libc::signal(libc::SIGHUP, libc::SIG_IGN);
+    }
+}
+
 /// Ignores SIGXFSZ: a write beyond the file size limit then fails as a disk error, which is logged and
 /// retried.
 fn ignore_file_size_signal() {
--- a/crates/node/src/run/reload.rs
+++ b/crates/node/src/run/reload.rs
@@ -30,7 +30,8 @@
 /// stay in force.
 pub(super) async fn watch_settings(shared: Arc<Shared>, reload: SettingsReload) -> std::io::Result<()> {
     let mut hangup = signal(SignalKind::hangup())?;
-    let mut file_state = FileState::of(&reload.file);
+    // The file may have changed since the settings were read, so the first check reads it again.
+    let mut file_state = None;
     let mut seeds = shared.settings.seeds.clone();
     loop {
         tokio::select! {
--- a/crates/testbed/tests/connections.rs
+++ b/crates/testbed/tests/connections.rs
@@ -310,3 +310,25 @@
         ensure(findings.is_empty(), format!("{findings:?}"))
     });
 }
+
+#[test]
+fn a_node_that_gets_sighup_ends_with_its_calls() {
+    run_async_test(async {
+        let (fleet, _workers, log) = start_fleet(FleetSpec::SMALL, &config_tree(FleetSpec::SMALL, 0, &[])).await?;
+        let front = fleet.nodes[3].front();
+        let draft_client = client(&fleet, "/v1/draft", 0);
+        let call = tokio::spawn(async move { draft_client.call(&front, "during", "x").await });
+        while log.runs().is_empty() {
+            tokio::task::yield_now().await;
+        }
+        for node in 0..fleet.nodes.len() {
+            fleet.signal(node, libc::SIGHUP);
+        }
+        let record = call.await.map_err(|error| error.to_string())?;
+        ensure(record.observation == ClientObservation::Complete, format!("{:?}", record.observation))?;
+        for node in 0..fleet.nodes.len() {
+            ensure(fleet.version(node).await.is_some(), format!("node {node} has ended"))?;
+        }
+        Ok(())
+    });
+}
