Soak planned work with processes, and judge lost answers as the rule words them

lost_answers judges requests by what clients and workers saw: stops, reloads and changes, the slack, the excuses (the worker broke off, the time of the route, work in the last sixth of the grace); planted losses and each excuse have tests.

One narrower form of the judge came from a trace: a worker that woke up and then broke off, 0.3 s after another one was left for it, is the excuse of the rule.

--- a/crates/testbed/src/cli/mod.rs
+++ b/crates/testbed/src/cli/mod.rs
@@ -7,6 +7,7 @@
 mod place;
 mod retry_soak;
 mod sim;
+mod stop_soak;
 
 use options::Arguments;
 use std::process::ExitCode;
@@ -29,13 +30,14 @@
     let passed = match arguments.subcommand() {
         "fleet" => fleet::run(&arguments),
         "retry-soak" => retry_soak::run(&arguments),
+        "stop-soak" => stop_soak::run(&arguments),
         "sim" => sim::run(&arguments),
         "place" => place::run(&arguments),
         "lookups" => lookups::run(),
         "bounds" => bounds::run(),
-        name => {
-            fail(&format!("unknown subcommand {name}: use fleet, retry-soak, sim, lookups, bounds, place or hollow"))
-        }
+        name => fail(&format!(
+            "unknown subcommand {name}: use fleet, retry-soak, stop-soak, sim, lookups, bounds, place or hollow"
+        )),
     };
     if passed { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FINDINGS) }
 }
--- a/crates/testbed/src/cli/options.rs
+++ b/crates/testbed/src/cli/options.rs
@@ -9,6 +9,7 @@
 Usage:
   testbed fleet [flags]   run processes of sumacvale on loopback, with traffic and faults
   testbed retry-soak [flags]  soak the retry budget: processes, workers that fail, signals in series
+  testbed stop-soak [flags]   soak planned work: stops, reloads, changes; workers that are silent
   testbed sim [flags]     simulate the core in virtual time, from seeds
   testbed lookups         measure the cost of a lookup in the layered cache
   testbed bounds          compare how quota bounds admit and reject calls
@@ -81,7 +82,8 @@
         .optopt("", "seeds", "the number of seeds", "N")
         .optopt("", "profile", "sim: one fault profile only", "NAME")
         .optopt("", "scale", "the traffic in percent of the deployment's", "N")
-        .optopt("", "fronts", "retry-soak, sim, place: the number of fronts", "N")
+        .optopt("", "fronts", "retry-soak, stop-soak, sim, place: the number of fronts", "N")
+        .optopt("", "clients", "stop-soak: the number of clients", "N")
         .optopt("", "quota", "sim: the form of quotas, window or rate", "FORM")
         .optopt("", "way", "place: one strategy only", "NAME")
         .optopt("", "near", "place: the weight of bytes between zones, in percent of the default", "N")
--- a/crates/testbed/src/fleet/nodes.rs
+++ b/crates/testbed/src/fleet/nodes.rs
@@ -36,6 +36,23 @@
     folder: PathBuf,
     /// The path of the `sumacvale` program.
     program: PathBuf,
+    /// The times of an ordered shutdown in the settings of nodes that are started later.
+    pub shutdown_times: ShutdownTimes,
+}
+
+/// The times of an ordered shutdown, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct ShutdownTimes {
+    /// From SIGTERM until the listener for callers closes.
+    pub notice_ms: u64,
+    /// From then until calls in flight are cut.
+    pub grace_ms: u64,
+}
+
+impl Default for ShutdownTimes {
+    fn default() -> Self {
+        ShutdownTimes { notice_ms: 1_500, grace_ms: 8_000 }
+    }
 }
 
 /// The counters and gauges of a node, in the order of its response. Each name includes the labels.
@@ -110,17 +127,26 @@
             Node::new(ip, zone, index < cores, folder.join(format!("n{index}")))
         };
         let nodes = (0..cores + fronts).map(new_node).collect();
-        Ok(Fleet { nodes, http: http_client(), subnet, _reservation: reservation, folder, program: find_program()? })
+        Ok(Fleet {
+            nodes,
+            http: http_client(),
+            subnet,
+            _reservation: reservation,
+            folder,
+            program: find_program()?,
+            shutdown_times: ShutdownTimes::default(),
+        })
     }
 
     /// Returns the settings of a node as JSON.
     fn settings(&self, index: usize) -> String {
         let node = &self.nodes[index];
+        let ShutdownTimes { notice_ms, grace_ms } = self.shutdown_times;
         let seeds: Vec<_> = self.nodes.iter().take(SEEDS).map(|seed| format!("\"{}\"", seed.peer())).collect();
         let data_field =
             if node.is_core { format!("\"data\":\"{}\",", node.data_folder().display()) } else { String::new() };
         format!(
-            "{{{data_field}\"zone\":\"{}\",\"peer\":\"{}\",\"admin\":\"{}\",\"downstream\":\"{}\",\"seeds\":[{}],\"operators\":[\"sha256:{}\"],\"workers\":[\"sha256:{}\"],\"notice_ms\":1500,\"grace_ms\":8000}}",
+            "{{{data_field}\"zone\":\"{}\",\"peer\":\"{}\",\"admin\":\"{}\",\"downstream\":\"{}\",\"seeds\":[{}],\"operators\":[\"sha256:{}\"],\"workers\":[\"sha256:{}\"],\"notice_ms\":{notice_ms},\"grace_ms\":{grace_ms}}}",
             node.zone,
             node.peer(),
             node.admin(),
--- a/crates/testbed/src/fleet/setup.rs
+++ b/crates/testbed/src/fleet/setup.rs
@@ -1,6 +1,6 @@
 //! The start of a fleet: its processes, configuration and workers.
 
-use super::nodes::Fleet;
+use super::nodes::{Fleet, ShutdownTimes};
 use super::spec::FleetSpec;
 use crate::standin::{StandInWorker, WorkerLog, WorkerSpec};
 use hyper::Method;
@@ -50,7 +50,7 @@
 }
 
 /// Returns the spec of a worker: the model workers come first, then those of the application.
-fn worker_spec(fleet: &Fleet, spec: FleetSpec, index: usize) -> Result<WorkerSpec, String> {
+pub(super) fn worker_spec(fleet: &Fleet, spec: FleetSpec, index: usize) -> Result<WorkerSpec, String> {
     let zone = format!("z{}", index % 3 + 1);
     let (pool, slots) = if index < spec.model_workers { ("llm", 16) } else { ("app", 64) };
     let addr: Result<SocketAddr, _> = format!("{}.{}:7200", fleet.subnet, 200 + index).parse();
@@ -72,17 +72,24 @@
 ///
 /// A process or a worker can't be started, or a step timed out.
 pub async fn start_fleet(spec: FleetSpec, config: &str) -> Result<(Fleet, Vec<StandInWorker>, WorkerLog), String> {
+    let fleet = start_nodes(spec, ShutdownTimes::default(), config).await?;
+    let log = WorkerLog::default();
+    let workers = start_workers(&fleet, spec, &log).await?;
+    wait_for_workers(&fleet, workers.len() as u64).await?;
+    Ok((fleet, workers, log))
+}
+
+/// Starts the nodes of a fleet with a configuration. Returns once all nodes are ready and know the configuration.
+pub(super) async fn start_nodes(spec: FleetSpec, shutdown_times: ShutdownTimes, config: &str) -> Result<Fleet, String> {
     let mut fleet = Fleet::new(CORES, spec.fronts).map_err(|error| error.to_string())?;
+    fleet.shutdown_times = shutdown_times;
     for index in 0..fleet.nodes.len() {
         fleet.start(index).map_err(|error| error.to_string())?;
     }
     fleet.wait_until_ready(Duration::from_secs(20)).await?;
     let version = apply_config(&fleet, CORES, config).await?;
     fleet.wait_for_version(version, Duration::from_secs(5)).await?;
-    let log = WorkerLog::default();
-    let workers = start_workers(&fleet, spec, &log).await?;
-    wait_for_workers(&fleet, workers.len() as u64).await?;
-    Ok((fleet, workers, log))
+    Ok(fleet)
 }
 
 /// Waits until all running fronts know exactly `expected` workers. Returns the time that this took.
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod hollow;
 pub mod lookups;
+pub mod lost_answers;
 pub mod retry_allowance;
 pub mod sim;
 pub mod standin;
--- a/crates/testbed/src/standin/raw.rs
+++ b/crates/testbed/src/standin/raw.rs
@@ -1,7 +1,8 @@
 //! A worker that responds with fixed bytes, for responses that HTTP libraries do not send.
 
-use super::http::{HttpClient, request_text};
-use hyper::Method;
+use super::http::HttpClient;
+use super::report::{WorkerStatus, report_body, send_report};
+use super::worker::WorkerSpec;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -44,7 +45,16 @@
 ) -> std::io::Result<()> {
     let listener = TcpListener::bind(listen).await?;
     let addr = listener.local_addr()?;
-    tokio::spawn(report(id.to_owned(), pool.to_owned(), addr, node, http));
+    let spec = WorkerSpec {
+        id: id.into(),
+        addr,
+        pool: pool.into(),
+        zone: "z1".into(),
+        slots: 8,
+        incarnation: 1,
+        nodes: vec![node],
+    };
+    tokio::spawn(report(spec, addr, http));
     tokio::spawn(async move {
         while let Ok((stream, _)) = listener.accept().await {
             tokio::spawn(respond(stream, response));
@@ -57,14 +67,10 @@
 const RESET_DELAY: Duration = Duration::from_millis(100);
 
 /// Sends reports until the node is unreachable.
-async fn report(id: String, pool: String, addr: SocketAddr, node: String, http: HttpClient) {
+async fn report(spec: WorkerSpec, addr: SocketAddr, http: HttpClient) {
     for seq in 1u64.. {
-        let body = format!(
-            "{{\"id\":\"{id}\",\"incarnation\":1,\"seq\":{seq},\"addr\":\"{addr}\",\"pool\":\"{pool}\",\"zone\":\"z1\",\"slots\":8,\"busy\":0}}"
-        );
-        let headers = [("authorization", "Bearer worker-token")];
-        let uri = format!("http://{node}/v1/report");
-        if request_text(&http, Method::POST, &uri, &headers, &body).await.is_err() {
+        let body = report_body(&spec, WorkerStatus { addr, seq, busy: 0, is_draining: false });
+        if !send_report(&http, &spec.nodes[0], &body).await {
             return;
         }
         tokio::time::sleep(REPORT_INTERVAL).await;
--- a/crates/testbed/src/standin/worker.rs
+++ b/crates/testbed/src/standin/worker.rs
@@ -1,14 +1,15 @@
 //! A worker of the model or the application, which reports to nodes, runs calls and injects faults on request.
 
-use super::http::{HttpClient, request_text};
+use super::http::HttpClient;
 use super::log::{WorkerLog, WorkerRun};
+use super::report::{WorkerStatus, report_body, send_report};
 use bytes::Bytes;
 use futures::Stream;
 use http_body_util::{BodyExt, Full, StreamBody, combinators::UnsyncBoxBody};
 use hyper::body::{Frame, Incoming};
 use hyper::header::HeaderValue;
 use hyper::service::service_fn;
-use hyper::{Method, Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -223,32 +224,22 @@
 
     /// Sends a report without waiting for the responses. The nodes take turns: `round` selects the first one.
     fn send_report(&self, http: &HttpClient, round: usize, is_draining: bool) {
-        let body = self.report_body(is_draining);
+        let body = self.next_report(is_draining);
         let nodes = &self.0.spec.nodes;
         for index in 0..nodes.len().min(NODES_PER_REPORT) {
-            let uri = format!("http://{}/v1/report", nodes[(round + index) % nodes.len()]);
+            let node = nodes[(round + index) % nodes.len()].clone();
             let (http, body) = (http.clone(), body.clone());
-            tokio::spawn(async move {
-                let headers = [("authorization", "Bearer worker-token"), ("content-type", "application/json")];
-                let _ = request_text(&http, Method::POST, &uri, &headers, &body).await;
-            });
+            tokio::spawn(async move { send_report(&http, &node, &body).await });
         }
     }
 
     /// Returns the next report as JSON.
-    fn report_body(&self, is_draining: bool) -> String {
-        let (worker, spec) = (&self.0, &self.0.spec);
+    fn next_report(&self, is_draining: bool) -> String {
+        let worker = &self.0;
         let seq = worker.report_seq.fetch_add(1, Ordering::AcqRel) + 1;
-        format!(
-            "{{\"id\":\"{}\",\"incarnation\":{},\"seq\":{seq},\"addr\":\"{}\",\"pool\":\"{}\",\"zone\":\"{}\",\"slots\":{},\"busy\":{},\"draining\":{is_draining}}}",
-            spec.id,
-            spec.incarnation,
-            worker.reported_addr.lock().ok().and_then(|addr| *addr).unwrap_or(worker.addr),
-            spec.pool,
-            spec.zone,
-            spec.slots,
-            worker.busy.load(Ordering::Acquire)
-        )
+        let addr = worker.reported_addr.lock().ok().and_then(|addr| *addr).unwrap_or(worker.addr);
+        let busy = worker.busy.load(Ordering::Acquire);
+        report_body(&worker.spec, WorkerStatus { addr, seq, busy, is_draining })
     }
 
     /// Accepts connections until the worker crashes.
@@ -366,6 +357,11 @@
     }
 }
 
+/// Returns one event of a stream.
+pub(super) fn event_text(call: &str, number: u64, total: u64) -> String {
+    format!("id: {number}\ndata: {{\"call\":\"{call}\",\"n\":{number},\"of\":{total}}}\n\n")
+}
+
 /// Returns the events from number `first` on. A truncated stream sends half an event and then fails.
 fn event_stream(
     call: String,
@@ -389,11 +385,7 @@
                     (Ok(Frame::data(half_event.into())), number + 1)
                 }
                 Some(end) if number > end => (Err(std::io::Error::other("truncated")), total),
-                _ => {
-                    let event =
-                        format!("id: {number}\ndata: {{\"call\":\"{call}\",\"n\":{number},\"of\":{total}}}\n\n");
-                    (Ok(Frame::data(event.into())), number + 1)
-                }
+                _ => (Ok(Frame::data(event_text(&call, number, total).into())), number + 1),
             };
             Some((item, (next, slot)))
         }
