Answer a call that a full queue for units of a rate displaces

Cause: wait_for_rate dropped the call that a full queue displaces without an event; wait_for_holder beside it sends one. The call then found itself in no queue, took it that its event would follow, and woke every millisecond.

Change: the displaced call gets the event of a spent quota, with the time until the rate has units: 429.

--- a/crates/core/src/call/quota_queue.rs
+++ b/crates/core/src/call/quota_queue.rs
@@ -91,7 +91,7 @@
                 }
                 AcquireOutcome::WindowSpent { remaining } => return UnitOutcome::Exhausted { retry_after: remaining },
                 AcquireOutcome::RateExhausted { wait, interval, may_receive_units } => {
-                    return queue.wait_for_rate(call, RateRefill { wait, interval, may_receive_units }, now);
+                    return queue.wait_for_rate(call, RateRefill { wait, interval, may_receive_units }, now, effects);
                 }
                 AcquireOutcome::Empty => {}
             }
@@ -102,7 +102,7 @@
         } else if let Some(AcquireOutcome::RateExhausted { wait, interval, may_receive_units }) =
             self.slices.rates.outcome_behind_waiters(call.tenant, call.units, now)
         {
-            return queue.wait_for_rate(call, RateRefill { wait, interval, may_receive_units }, now);
+            return queue.wait_for_rate(call, RateRefill { wait, interval, may_receive_units }, now, effects);
         }
         queue.wait_for_holder(call, now, effects)
     }
@@ -215,7 +215,13 @@
 
     /// Queues the call if the rate provides its units before its deadline, or if the lease holder may
     /// grant a larger share.
-    fn wait_for_rate(&mut self, call: &QueuedCall, refill: RateRefill, now: Micros) -> UnitOutcome {
+    fn wait_for_rate(
+        &mut self,
+        call: &QueuedCall,
+        refill: RateRefill,
+        now: Micros,
+        effects: &mut Effects,
+    ) -> UnitOutcome {
         let queued_wait = refill.interval.saturating_mul(self.waiters.len() as u64);
         let available_at = queued_wait.saturating_add(refill.wait).saturating_add(now);
         if !refill.may_receive_units && available_at > call.rate_deadline {
@@ -224,7 +230,12 @@
         self.unanswered_since = None;
         let flow = (call.tenant.to_owned(), call.kind);
         match self.waiters.push(flow, call.weight, call.into(), NO_DEADLINE, now) {
-            Ok(_) => UnitOutcome::Queued,
+            Ok(None) => UnitOutcome::Queued,
+            Ok(Some(displaced)) => {
+                let event = Event::WindowSpent(RateRefill::retry_after(refill.wait));
+                effects.push(Effect::WakeCall(wakeup(call.tenant, displaced.call_id, event)));
+                UnitOutcome::Queued
+            }
             Err((_, rejection)) => {
                 UnitOutcome::Exhausted { retry_after: RateRefill::retry_after(rejection.retry_after) }
             }
--- a/crates/core/tests/call/waiting.rs
+++ b/crates/core/tests/call/waiting.rs
@@ -224,6 +224,39 @@
     Arc::new(compiled)
 }
 
+#[test]
+fn a_call_that_a_full_queue_for_a_rate_displaces_gets_no_answer() {
+    let mut call = CallFixture::new("/draft", 1, 1, 0);
+    let matches = ["draft", "lookup"]
+        .map(|kind| format!("\"{kind}\":{{\"path\":\"/{kind}\",\"pool\":\"p\",\"kind\":\"{kind}\"}}"));
+    let document = format!(
+        "{{\"pools\":{{\"p\":{{}}}},\"matches\":{{{}}},\"tenants\":{{\"t\":{{\"keys\":[\"sha256:{}\"],\"quota\":{QUOTA_IN_CALLS}}}}}}}",
+        matches.join(","),
+        sha256_hex(b"key")
+    );
+    let config = Arc::new(CompiledConfig::compile(1, &document));
+    call.shared.slices.rates.apply_config(&config, START);
+    call.update_view(|view| view.config = config);
+    grant_rate_units(&call, 1, 1);
+    assert!(matches!(call.shared.slices.acquire_units("t", 1, START), AcquireOutcome::Acquired { .. }));
+    let body = || Event::RequestBody(Ok(Bytes::from_static(b"{\"prompt\":\"x\"}")));
+    // Eight drafts wait for units when a lookup arrives, whose kind has a higher weight.
+    let mut drafts = Vec::new();
+    for id in 1..=8 {
+        let _ = call.next_call(id, "/draft");
+        assert_eq!((call.step(Event::Wake), call.step(body())), ("read body".into(), "request units".into()), "{id}");
+        drafts.push(call.next_call(0, "/draft"));
+    }
+    let _ = call.next_call(9, "/lookup");
+    call.step(Event::Wake);
+    let displaced = call.effects(body()).into_iter().find_map(|effect| match effect {
+        Effect::WakeCall(Wakeup { call_id: 8, event, .. }) => Some(event),
+        _ => None,
+    });
+    call.machine = drafts.pop().expect("eight drafts");
+    assert_eq!(call.step(displaced.expect("an event for the displaced call")), "429 quota no");
+}
+
 const QUOTA_IN_CALLS: &str = r#"{"rate":100,"burst":1000}"#;
 const QUOTA_IN_TOKENS: &str = r#"{"rate":100,"burst":1000,"measure":"tokens","untold":70}"#;
 
