Keep an idle worker's connection until another one has sent an event

Change: the suspended response is kept with its own state until the other worker's first new event. Its events are events of their own (Event::Suspended), as both responses may come at once. If the other worker breaks off, sends invalid events or is silent before that, the call returns to the first.

--- a/crates/core/src/call/io.rs
+++ b/crates/core/src/call/io.rs
@@ -88,17 +88,39 @@
     AttemptFailed(FailurePoint),
     /// The head of the worker's response arrived.
     ResponseHead(ResponseHead),
-    /// A chunk of the worker's response arrived. Before the head of another attempt, this and the two events below
-    /// are of the suspended response.
+    /// A chunk of the worker's response arrived.
     ResponseChunk(Bytes),
     /// The worker's response is complete.
     ResponseEnd,
     /// The worker's response ended early.
     ResponseAborted,
+    /// An event of the suspended response.
+    Suspended(ResponseEvent),
     /// The client closed its connection.
     ClientDisconnected,
 }
 
+/// An event of the body of a worker's response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ResponseEvent {
+    /// A chunk arrived.
+    Chunk(Bytes),
+    /// The response is complete.
+    End,
+    /// The response ended early.
+    Aborted,
+}
+
+impl From<ResponseEvent> for Event {
+    fn from(event: ResponseEvent) -> Self {
+        match event {
+            ResponseEvent::Chunk(chunk) => Event::ResponseChunk(chunk),
+            ResponseEvent::End => Event::ResponseEnd,
+            ResponseEvent::Aborted => Event::ResponseAborted,
+        }
+    }
+}
+
 /// An event for another call that waits in a queue.
 #[derive(Debug)]
 pub struct Wakeup {
--- a/crates/core/src/call/machine.rs
+++ b/crates/core/src/call/machine.rs
@@ -120,11 +120,7 @@
                 self.return_late_grant(event, context, effects);
                 ControlFlow::Continue(CallState::Streaming(call))
             }
-            (state, event @ (Event::ResponseChunk(_) | Event::ResponseEnd | Event::ResponseAborted))
-                if state.has_suspended_worker() =>
-            {
-                suspended::step(state, event, context, effects)
-            }
+            (state, Event::Suspended(event)) => suspended::step(state, event, context, effects),
             (CallState::Received(call), _) => admit(call, context, effects),
             (CallState::Routed(call), Event::RequestBody(body)) => read_body(call, body, context, effects),
             (CallState::BodyRead(call), event) => quota::step(call, event, context, effects),
--- a/crates/core/src/call/mod.rs
+++ b/crates/core/src/call/mod.rs
@@ -33,7 +33,7 @@
 pub use context::{SharedCallState, StepContext};
 pub use counters::{DataPlaneCounters, HELP_TEXTS as COUNTER_HELP_TEXTS};
 pub use holdings::{QuotaUnit, ReservedSlot};
-pub use io::{BodyError, Effect, Effects, Event, RequestHead, ResponseHead, Wakeup};
+pub use io::{BodyError, Effect, Effects, Event, RequestHead, ResponseEvent, ResponseHead, Wakeup};
 pub use latency::{BUCKET_BOUNDS, HistogramSnapshot, LatencyHistogram};
 pub use local_response::{LocalResponse, spread_retry_after};
 pub use machine::CallMachine;
--- a/crates/core/src/call/release.rs
+++ b/crates/core/src/call/release.rs
@@ -57,7 +57,10 @@
             release_slot(&call.state.slot, context, effects);
             return release_suspended(&mut call.state.granted, context, effects);
         }
-        CallState::Streaming(call) => return release_slot(&call.state.slot, context, effects),
+        CallState::Streaming(mut call) => {
+            release_slot(&call.state.slot, context, effects);
+            return release_suspended(&mut call.state.granted, context, effects);
+        }
     };
     release_suspended(&mut granted, context, effects);
     refund_unused_unit(&granted, context, effects);
@@ -65,8 +68,8 @@
 
 /// Releases the slot at the worker whose stream is idle, if the call has one.
 fn release_suspended(granted: &mut QuotaGranted, context: &mut StepContext, effects: &mut Effects) {
-    if let Some(slot) = granted.suspended.take() {
-        release_slot(&slot, context, effects);
+    if let Some(suspended) = granted.suspended.take() {
+        release_slot(&suspended.slot, context, effects);
     }
 }
 
--- a/crates/core/src/call/state.rs
+++ b/crates/core/src/call/state.rs
@@ -87,9 +87,18 @@
     pub slot_deadline: Micros,
     /// The response so far, if a worker's stream broke or is idle and is to be resumed at another worker.
     pub stream: Option<ResponseStream>,
-    /// The slot at the worker whose stream is idle, while another attempt is made. The connection to this worker
-    /// stays open, and its next bytes end the attempt.
-    pub suspended: Option<ReservedSlot>,
+    /// The response of the worker whose stream is idle, until another worker has continued the stream.
+    pub suspended: Option<Box<SuspendedStream>>,
+}
+
+/// The response of a worker whose stream is idle. The connection to this worker stays open, and its next bytes end the
+/// attempt at another worker.
+#[derive(Debug)]
+pub struct SuspendedStream {
+    /// The slot at the worker.
+    pub slot: ReservedSlot,
+    /// The response so far.
+    pub stream: ResponseStream,
 }
 
 /// The phase in which the call holds a slot and the connection to its worker is being opened.
@@ -308,15 +317,14 @@
 }
 
 impl CallState {
-    /// Whether the connection to a worker whose stream is idle is open while another attempt is made.
-    #[must_use]
-    pub fn has_suspended_worker(&self) -> bool {
-        let granted = match self {
-            CallState::QuotaGranted(call) => &call.state,
-            CallState::Connecting(call) => &call.state.granted,
-            CallState::AwaitingHead(call) => &call.state.granted,
-            _ => return false,
-        };
-        granted.suspended.is_some()
+    /// Returns the request with its quota unit, in the phases that have them.
+    pub(super) fn granted_mut(&mut self) -> Option<&mut QuotaGranted> {
+        match self {
+            CallState::QuotaGranted(call) => Some(&mut call.state),
+            CallState::Connecting(call) => Some(&mut call.state.granted),
+            CallState::AwaitingHead(call) => Some(&mut call.state.granted),
+            CallState::Streaming(call) => Some(&mut call.state.granted),
+            CallState::Received(_) | CallState::Routed(_) | CallState::BodyRead(_) | CallState::Finished => None,
+        }
     }
 }
--- a/crates/core/src/call/steps/attempt.rs
+++ b/crates/core/src/call/steps/attempt.rs
@@ -295,7 +295,7 @@
         return end_without_slot(call.map_state(|awaiting| awaiting.granted), response, context, effects);
     }
     context.shared.counters.streams_resumed.increment();
-    ControlFlow::Continue(resume_stream(call, head, context, effects))
+    ControlFlow::Continue(resume_stream(call, head, context))
 }
 
 fn record_run(granted: &mut QuotaGranted) {
--- a/crates/core/src/call/steps/failover.rs
+++ b/crates/core/src/call/steps/failover.rs
@@ -182,7 +182,8 @@
     effects: &mut Effects,
 ) -> StepResult<CallState> {
     context.shared.attempt_counters.record_retry(&call.state.request.route.pool, FailurePoint::Body);
-    if let Some(stream) = &mut call.state.stream {
+    let QuotaGranted { stream, suspended, .. } = &mut call.state;
+    for stream in stream.iter_mut().chain(suspended.iter_mut().map(|suspended| &mut suspended.stream)) {
         stream.resumed_after = stream.events.as_ref().and_then(EventSplitter::resume_point).flatten();
     }
     call.state.slot_deadline = context.now + call.state.request.route.matched.queue_timeout;
--- a/crates/core/src/call/steps/response_stream.rs
+++ b/crates/core/src/call/steps/response_stream.rs
@@ -1,8 +1,7 @@
 //! The transition from the head of a worker's response to its body.
 
-use super::suspension::close_suspended;
 use crate::call::context::StepContext;
-use crate::call::io::{Effects, ResponseHead};
+use crate::call::io::ResponseHead;
 use crate::call::state::{AwaitingHead, Call, CallState, ResponseStream, Streaming};
 use crate::stream::EventSplitter;
 
@@ -29,15 +28,9 @@
     CallState::Streaming(call.map_state(|AwaitingHead { granted, slot, .. }| Streaming { granted, slot, stream }))
 }
 
-/// Continues a broken or idle stream with the response of another worker.
-/// Closes the connection to the worker whose stream is idle, if it is still open.
-pub(super) fn resume_stream(
-    mut call: Call<AwaitingHead>,
-    head: ResponseHead,
-    context: &mut StepContext,
-    effects: &mut Effects,
-) -> CallState {
-    close_suspended(&mut call.state.granted, context, effects);
+/// Continues a broken or idle stream with the response of another worker. A suspended response is kept until the first
+/// event of this one.
+pub(super) fn resume_stream(call: Call<AwaitingHead>, head: ResponseHead, context: &StepContext) -> CallState {
     CallState::Streaming(call.map_state(|AwaitingHead { mut granted, slot, .. }| {
         let broken = granted.stream.take();
         let mut events = broken.as_ref().and_then(|stream| stream.events.clone());
--- a/crates/core/src/call/steps/streaming.rs
+++ b/crates/core/src/call/steps/streaming.rs
@@ -1,7 +1,7 @@
 //! The phase `Streaming`: forwards a worker's response to the client.
 
 use super::failover::{make_resume_attempt, resume_elsewhere, resume_obstacle};
-use super::suspension::suspend;
+use super::suspension::{close_suspended, restore_after_failure, suspend};
 use crate::call::abort::{AbortCause, FailoverObstacle, ResponseAbort};
 use crate::call::context::StepContext;
 use crate::call::io::{Effect, Effects, Event};
@@ -13,7 +13,7 @@
 
 /// Steps a call whose response is being forwarded.
 pub fn step(
-    call: Call<Streaming>,
+    mut call: Call<Streaming>,
     event: Event,
     context: &mut StepContext,
     effects: &mut Effects,
@@ -22,6 +22,7 @@
         Event::ResponseChunk(chunk) => forward_chunk(call, chunk, context, effects),
         Event::ResponseEnd if call.state.stream.is_complete() => {
             context.shared.counters.served.increment();
+            close_suspended(&mut call.state.granted, context, effects);
             release_slot(&call.state.slot, context, effects);
             effects.push(Effect::FinishResponse);
             ControlFlow::Continue(CallState::Finished)
@@ -60,15 +61,22 @@
         None => vec![chunk],
         Some(events) => match events.push(&chunk) {
             Ok(chunks) => chunks,
+            Err(_) if granted.suspended.is_some() => {
+                return handle_broken_stream(call, AbortCause::InvalidEvents, context, effects);
+            }
             Err(_) => return abort(call, AbortCause::InvalidEvents, context, effects),
         },
     };
-    stream.has_forwarded |= !chunks.is_empty();
+    if !chunks.is_empty() {
+        stream.has_forwarded = true;
+        close_suspended(granted, context, effects);
+    }
     effects.extend(chunks.into_iter().map(Effect::ForwardChunk));
     ControlFlow::Continue(CallState::Streaming(call))
 }
 
-/// Ejects the worker whose stream broke, and resumes the stream at another worker if possible.
+/// Ejects the worker whose stream broke. The call continues with the suspended response if there is one, or else
+/// at another worker if possible.
 fn handle_broken_stream(
     call: Call<Streaming>,
     cause: AbortCause,
@@ -85,7 +93,10 @@
         QuotaGranted { stream: Some(stream), ..granted }
     });
     call.state.request.attempts.excluded.push(worker_id);
-    resume_elsewhere(call, context, effects)
+    match restore_after_failure(call, context, effects) {
+        ControlFlow::Break(restored) => ControlFlow::Continue(restored),
+        ControlFlow::Continue(call) => resume_elsewhere(call, context, effects),
+    }
 }
 
 /// Requests the stream at another worker, as the current one is idle. The connection to the current one stays open: if
@@ -98,6 +109,9 @@
     let Streaming { granted, slot, stream } = &mut call.state;
     context.shared.eject_worker(slot);
     stream.next_failover_at = context.now + granted.request.route.failover_timeout();
+    if granted.suspended.is_some() {
+        return ControlFlow::Continue(CallState::Streaming(call));
+    }
     if resume_obstacle(&mut granted.request, stream, context).is_some() {
         context.shared.counters.retries_denied.increment();
         return ControlFlow::Continue(CallState::Streaming(call));
@@ -108,11 +122,12 @@
 }
 
 fn abort(
-    call: Call<Streaming>,
+    mut call: Call<Streaming>,
     cause: AbortCause,
     context: &mut StepContext,
     effects: &mut Effects,
 ) -> StepResult<CallState> {
+    close_suspended(&mut call.state.granted, context, effects);
     release_slot(&call.state.slot, context, effects);
     context.shared.aborts.add(cause);
     context.shared.counters.streams_aborted.increment();
--- a/crates/core/src/call/steps/suspended.rs
+++ b/crates/core/src/call/steps/suspended.rs
@@ -4,61 +4,58 @@
 use super::suspension::{close_suspended, restore};
 use crate::call::abort::AbortCause;
 use crate::call::context::StepContext;
-use crate::call::io::{Effect, Effects, Event};
+use crate::call::io::{Effect, Effects, ResponseEvent};
 use crate::call::progress::StepResult;
 use crate::call::release::disconnect;
-use crate::call::state::{AwaitingHead, Call, CallState, Connecting, QuotaGranted, ResponseStream};
+use crate::call::state::{AwaitingHead, Call, CallState, Connecting, QuotaGranted, Streaming};
 use std::ops::ControlFlow;
 
 /// Steps a call by an event of its suspended response: the response is closed if it broke, and otherwise continues
 /// in place of the other attempt.
-pub fn step(state: CallState, event: Event, context: &mut StepContext, effects: &mut Effects) -> StepResult<CallState> {
-    if is_break(&state, &event) {
-        return ControlFlow::Continue(drop_broken(state, context, effects));
+pub fn step(
+    mut state: CallState,
+    event: ResponseEvent,
+    context: &mut StepContext,
+    effects: &mut Effects,
+) -> StepResult<CallState> {
+    if let Some(granted) = state.granted_mut()
+        && is_break(granted, &event)
+    {
+        drop_broken(granted, context, effects);
+        return ControlFlow::Continue(state);
     }
     let call = match state {
         CallState::QuotaGranted(call) => leave_queue(call, context),
         CallState::Connecting(call) => cancel_connecting(call, context, effects),
         CallState::AwaitingHead(call) => cancel_sent(call, context, effects),
+        CallState::Streaming(call) => cancel_streaming(call, context, effects),
         state => return ControlFlow::Continue(state),
     };
     match restore(call, context) {
         ControlFlow::Break(call) => {
             effects.push(Effect::RestoreResponse);
-            streaming::step(call, event, context, effects)
+            streaming::step(call, event.into(), context, effects)
         }
         ControlFlow::Continue(call) => ControlFlow::Continue(CallState::QuotaGranted(call)),
     }
 }
 
 /// Whether the event ends the suspended response before its last byte.
-fn is_break(state: &CallState, event: &Event) -> bool {
-    let stream = match state {
-        CallState::QuotaGranted(call) => &call.state.stream,
-        CallState::Connecting(call) => &call.state.granted.stream,
-        CallState::AwaitingHead(call) => &call.state.granted.stream,
-        _ => return false,
-    };
+fn is_break(granted: &QuotaGranted, event: &ResponseEvent) -> bool {
+    let Some(suspended) = &granted.suspended else { return true };
     match event {
-        Event::ResponseAborted => true,
-        Event::ResponseEnd => !stream.as_ref().is_some_and(ResponseStream::is_complete),
-        _ => false,
+        ResponseEvent::Chunk(_) => false,
+        ResponseEvent::End => !suspended.stream.is_complete(),
+        ResponseEvent::Aborted => true,
     }
 }
 
 /// Closes the suspended response, whose worker broke off; the other attempt continues.
-fn drop_broken(mut state: CallState, context: &mut StepContext, effects: &mut Effects) -> CallState {
-    let granted = match &mut state {
-        CallState::QuotaGranted(call) => &mut call.state,
-        CallState::Connecting(call) => &mut call.state.granted,
-        CallState::AwaitingHead(call) => &mut call.state.granted,
-        _ => return state,
-    };
+fn drop_broken(granted: &mut QuotaGranted, context: &mut StepContext, effects: &mut Effects) {
     if let Some(stream) = &mut granted.stream {
         stream.broken_by = Some(AbortCause::WorkerBrokeOff);
     }
     close_suspended(granted, context, effects);
-    state
 }
 
 /// Ends the wait of the other attempt. A slot that was assigned and not yet delivered is returned when its event
@@ -82,6 +79,11 @@
     call.map_state(|awaiting| awaiting.granted)
 }
 
+fn cancel_streaming(call: Call<Streaming>, context: &mut StepContext, effects: &mut Effects) -> Call<QuotaGranted> {
+    disconnect(&call.state.slot, context, effects);
+    call.map_state(|streaming| streaming.granted)
+}
+
 /// Returns the retry of an attempt that was not sent to the retry budget.
 fn refund_retry(granted: &mut QuotaGranted, context: &StepContext) {
     if let Some(permitted_at) = granted.request.attempts.permitted_at.take() {
--- a/crates/core/src/call/steps/suspension.rs
+++ b/crates/core/src/call/steps/suspension.rs
@@ -1,17 +1,17 @@
 //! The transitions of a stream whose worker is idle: the response is suspended while another attempt is made, and is
-//! then restored, or closed once another worker continues the stream.
+//! then restored, or closed once another worker has continued the stream with an event.
 
 use crate::call::context::StepContext;
 use crate::call::io::{Effect, Effects};
 use crate::call::release::release_slot;
-use crate::call::state::{Call, CallState, QuotaGranted, ResponseStream, Streaming};
+use crate::call::state::{Call, CallState, QuotaGranted, Streaming, SuspendedStream};
 use std::ops::ControlFlow;
 
-/// Suspends the response. The caller pushes [`Effect::SuspendResponse`] if an attempt is made.
+/// Suspends the response of an idle worker. The caller pushes [`Effect::SuspendResponse`].
 pub(super) fn suspend(call: Call<Streaming>) -> Call<QuotaGranted> {
     call.map_state(|Streaming { granted, slot, stream }| QuotaGranted {
-        stream: Some(stream),
-        suspended: Some(slot),
+        stream: Some(stream.clone()),
+        suspended: Some(Box::new(SuspendedStream { slot, stream })),
         ..granted
     })
 }
@@ -21,10 +21,10 @@
     mut call: Call<QuotaGranted>,
     context: &StepContext,
 ) -> ControlFlow<Call<Streaming>, Call<QuotaGranted>> {
-    let Some(slot) = call.state.suspended.take() else { return ControlFlow::Continue(call) };
-    let Some(stream) = call.state.stream.take() else { return ControlFlow::Continue(call) };
-    let next_failover_at = context.now + call.state.request.route.failover_timeout();
-    let stream = ResponseStream { next_failover_at, ..stream };
+    let Some(suspended) = call.state.suspended.take() else { return ControlFlow::Continue(call) };
+    let SuspendedStream { slot, mut stream } = *suspended;
+    stream.next_failover_at = context.now + call.state.request.route.failover_timeout();
+    call.state.stream = None;
     ControlFlow::Break(call.map_state(|granted| Streaming { granted, slot, stream }))
 }
 
@@ -49,8 +49,8 @@
 
 /// Closes the connection of the suspended response, if there is one, and releases its slot.
 pub(super) fn close_suspended(granted: &mut QuotaGranted, context: &mut StepContext, effects: &mut Effects) {
-    if let Some(slot) = granted.suspended.take() {
+    if let Some(suspended) = granted.suspended.take() {
         effects.push(Effect::CloseSuspended);
-        release_slot(&slot, context, effects);
+        release_slot(&suspended.slot, context, effects);
     }
 }
--- a/crates/core/tests/call/exploration.rs
+++ b/crates/core/tests/call/exploration.rs
@@ -4,7 +4,7 @@
 
 use super::fixture::*;
 use std::sync::Arc;
-use sumacvale_core::call::AbortCause;
+use sumacvale_core::call::{AbortCause, ResponseEvent};
 use sumacvale_core::config::CompiledConfig;
 
 /// A possible next event of the environment.
@@ -347,16 +347,19 @@
             }
             Choice::SuspendedEvent => {
                 let suspended = self.suspended.as_mut()?;
-                suspended.event_chunk(suspended.next_id)
+                match suspended.event_chunk(suspended.next_id) {
+                    Event::ResponseChunk(chunk) => Event::Suspended(ResponseEvent::Chunk(chunk)),
+                    _ => return None,
+                }
             }
             Choice::SuspendedEnd => {
                 self.suspended_broke = self.suspended?.has_partial_event || !self.suspended?.has_definite_end;
-                Event::ResponseEnd
+                Event::Suspended(ResponseEvent::End)
             }
             Choice::SuspendedAborts => {
                 self.suspended?;
                 self.suspended_broke = true;
-                Event::ResponseAborted
+                Event::Suspended(ResponseEvent::Aborted)
             }
             Choice::RepeatedEvent | Choice::SkippedEvent | Choice::PartialEvent => return None,
             Choice::End => Event::ResponseEnd,
@@ -476,7 +479,7 @@
                 self.response = self.suspended.take().ok_or("no suspended response to restore")?;
             }
             Effect::CloseSuspended => {
-                let is_replaced = self.awaited == Awaited::ResponseHead && self.response.is_event_stream;
+                let is_replaced = self.awaited == Awaited::ResponseBody && self.response.is_event_stream;
                 let is_revoked = self.fixture.view.version == Some(2);
                 check(self.suspended_broke || is_replaced || is_revoked, "a worker at work is left")?;
                 check(self.suspended.take().is_some(), "no suspended response to close")?;
--- a/crates/core/tests/call/silence.rs
+++ b/crates/core/tests/call/silence.rs
@@ -1,6 +1,7 @@
 //! Workers that are silent for a while and then continue: the call leaves none of them for nothing.
 
 use super::fixture::*;
+use sumacvale_core::call::ResponseEvent;
 
 /// Longer than the time after which a stream of `/flow/x` is requested elsewhere, and far shorter than its `idle_ms`.
 const SILENCE: Micros = 1_600 * MS;
@@ -37,6 +38,16 @@
     check_scripts(vec![("no budget", silent_after_first_event(followed_by(waits, silent_worker_finishes())))]);
 }
 
+/// Returns the script of another worker that fails by this event after its head.
+fn headed_and(event: Event) -> Script {
+    vec![(ok_head(true, true), ""), (Deliver(event), "close, restore")]
+}
+
+/// Returns the script of another worker that ends within its first event.
+fn headed_and_partial() -> Script {
+    vec![(ok_head(true, true), ""), (chunk("id: 1\nda"), ""), (Deliver(Event::ResponseEnd), "close, restore")]
+}
+
 #[test]
 fn a_stream_of_a_silent_worker_is_cut_as_the_other_worker_fails() {
     let fails = |event, effects| vec![(Deliver(event), effects)];
@@ -50,25 +61,34 @@
         ("its answer is no stream", after_send(vec![(status_head(404), "close, restore")])),
         ("it breaks off", after_send(fails(Event::AttemptFailed(FailurePoint::Sent), "restore"))),
         ("it is silent too", after_send(vec![(Advance(15 * SEC), ""), (Deliver(Event::Wake), "close, restore")])),
+        ("it breaks off after its head", after_send(headed_and(Event::ResponseAborted))),
+        ("it ends within its first event", after_send(headed_and_partial())),
+        ("its events are invalid", after_send(headed_and(Event::ResponseChunk(Bytes::from("id: 7\ndata: z\n\n"))))),
         ("stale view", ended_by(vec![(ExpireView, ""), (Deliver(Event::Connected), "close, restore")])),
     ]);
 }
 
 #[test]
 fn a_silent_worker_that_wakes_up_is_left_for_one_that_has_not_answered() {
-    let sent = vec![(Deliver(Event::Connected), "send after 0 window 1")];
-    let wakes_up =
-        || vec![(chunk(SECOND_EVENT), "close, restore, forward 15"), (Deliver(Event::ResponseEnd), "finish")];
+    let sent = || vec![(Deliver(Event::Connected), "send after 0 window 1")];
+    let headed = || followed_by(sent(), vec![(ok_head(true, true), "")]);
+    let wakes_up = || {
+        let chunk = ResponseEvent::Chunk(Bytes::from(SECOND_EVENT));
+        let effects = "close, restore, forward 15";
+        vec![(Deliver(Event::Suspended(chunk)), effects), (Deliver(Event::ResponseEnd), "finish")]
+    };
+    let ends = vec![(Deliver(Event::Suspended(ResponseEvent::End)), "close, restore, finish")];
     check_scripts(vec![
         ("while the connection is opened", requested_elsewhere(wakes_up())),
-        ("before the head", requested_elsewhere(followed_by(sent, wakes_up()))),
-        ("at its end", requested_elsewhere(vec![(Deliver(Event::ResponseEnd), "close, restore, finish")])),
+        ("before the head", requested_elsewhere(followed_by(sent(), wakes_up()))),
+        ("before the first event", requested_elsewhere(followed_by(headed(), wakes_up()))),
+        ("at its end", requested_elsewhere(ends)),
     ]);
 }
 
 #[test]
 fn a_silent_worker_that_breaks_off_ends_the_attempt_that_replaces_it() {
-    let breaks = || vec![(Deliver(Event::ResponseAborted), "close suspended")];
+    let breaks = || vec![(Deliver(Event::Suspended(ResponseEvent::Aborted)), "close suspended")];
     let continued = vec![
         (Deliver(Event::Connected), "send after 0 window 1"),
         (ok_head(true, true), ""),
--- a/crates/node/src/front/call_task.rs
+++ b/crates/node/src/front/call_task.rs
@@ -19,7 +19,9 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use sumacvale_core::base::{MS, Micros};
-use sumacvale_core::call::{BodyError, BodyReservation, CallMachine, Effect, Event, RequestHead, ResponseAbort};
+use sumacvale_core::call::{
+    BodyError, BodyReservation, CallMachine, Effect, Event, RequestHead, ResponseAbort, ResponseEvent,
+};
 use sumacvale_core::placement::Endpoint;
 use sumacvale_core::retry::FailurePoint;
 use tokio::sync::{mpsc, watch};
@@ -57,14 +59,14 @@
 
 impl ResponseBody {
     /// Waits for the next event of the response.
-    async fn next_event(&mut self) -> Event {
+    async fn next_event(&mut self) -> ResponseEvent {
         loop {
             match self.body.next().await {
-                None => return Event::ResponseEnd,
-                Some(Err(_)) => return Event::ResponseAborted,
+                None => return ResponseEvent::End,
+                Some(Err(_)) => return ResponseEvent::Aborted,
                 Some(Ok(frame)) => {
                     if let Ok(chunk) = frame.into_data() {
-                        return Event::ResponseChunk(chunk);
+                        return ResponseEvent::Chunk(chunk);
                     }
                 }
             }
@@ -378,7 +380,7 @@
             biased;
             Ok(()) = self.version_changed.changed(), if wants_new_view => return Event::Wake,
             Some(event) = self.events.recv() => return event,
-            event = next_suspended_event(&mut self.suspended) => return event,
+            event = next_suspended_event(&mut self.suspended) => return Event::Suspended(event),
             outcome = wait_for_io(&mut self.pending_io) => outcome,
             () = self.timer.until(due) => return Event::Wake,
         };
@@ -428,12 +430,12 @@
     match pending_io {
         PendingIo::Nothing => std::future::pending().await,
         PendingIo::Operation(operation) => Err(operation.await),
-        PendingIo::ResponseBody(response) => Ok(response.next_event().await),
+        PendingIo::ResponseBody(response) => Ok(response.next_event().await.into()),
     }
 }
 
 /// Waits for the next event of the suspended response; forever if there is none.
-async fn next_suspended_event(suspended: &mut Option<SuspendedResponse>) -> Event {
+async fn next_suspended_event(suspended: &mut Option<SuspendedResponse>) -> ResponseEvent {
     match suspended {
         Some(suspended) => suspended.response.next_event().await,
         None => std::future::pending().await,
--- a/crates/testbed/src/sim/calls/call_driver.rs
+++ b/crates/testbed/src/sim/calls/call_driver.rs
@@ -10,7 +10,9 @@
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use sumacvale_core::base::{MS, Micros};
-use sumacvale_core::call::{CallMachine, Effect, Event, RequestHead, SharedCallState, StepContext, Wakeup};
+use sumacvale_core::call::{
+    CallMachine, Effect, Event, RequestHead, ResponseEvent, SharedCallState, StepContext, Wakeup,
+};
 use sumacvale_core::node::{Event as NodeEvent, View};
 use sumacvale_core::retry::FailurePoint;
 
@@ -28,6 +30,17 @@
     quota_requests: Vec<(String, u64)>,
 }
 
+/// Returns the event of the suspended response that an event of its connection means.
+fn suspended_event(event: Event) -> Option<Event> {
+    let event = match event {
+        Event::ResponseChunk(chunk) => ResponseEvent::Chunk(chunk),
+        Event::ResponseEnd => ResponseEvent::End,
+        Event::ResponseAborted => ResponseEvent::Aborted,
+        _ => return None,
+    };
+    Some(Event::Suspended(event))
+}
+
 impl World {
     /// Starts a client's call to a front and returns the number of the call.
     pub fn call(&mut self, machine: usize, request: CallRequest) -> u64 {
@@ -145,13 +158,18 @@
     /// Delivers an event of a worker to its call, unless the call has given up that attempt.
     pub(in crate::sim) fn handle_attempt_event(&mut self, origin: AttemptOrigin, event: Event) {
         let machine = &self.machines[origin.machine];
-        let is_current = |call: &ActiveCall| {
-            let is_of_attempt = |connection: &AttemptConnection| connection.attempt == origin.attempt;
-            call.connection.iter().chain(&call.suspended).any(is_of_attempt)
+        let Some(call) = machine.calls.active.get(&origin.call) else { return };
+        let is_of = |connection: &Option<AttemptConnection>| {
+            connection.is_some_and(|connection| connection.attempt == origin.attempt)
+        };
+        let event = if is_of(&call.connection) {
+            Some(event)
+        } else if is_of(&call.suspended) {
+            suspended_event(event)
+        } else {
+            None
         };
-        if machine.incarnation == origin.incarnation
-            && machine.calls.active.get(&origin.call).is_some_and(|call| is_current(call))
-        {
+        if let Some(event) = event.filter(|_| machine.incarnation == origin.incarnation) {
             self.step_call(origin.machine, origin.call, event);
         }
     }
