The simulator's check of calls sees a worker at work that is left

Change: each aborted response tells whether a worker was left that would have sent the rest, and after how long a silence; less than the idle time-out is a violation. Workers that pause for 1.6 s in the middle of a stream, a profile silent, and a largest gap for the drafts of all profiles, so that their streams are requested elsewhere while the worker is idle.

--- a/crates/testbed/src/sim/calls/call_driver.rs
+++ b/crates/testbed/src/sim/calls/call_driver.rs
@@ -28,6 +28,8 @@
     observation: Option<ClientObservation>,
     /// Tenants whose quota units are requested, and the number of waiting calls of each.
     quota_requests: Vec<(String, u64)>,
+    /// Whether a worker that was at work was left.
+    has_left_worker: bool,
 }
 
 /// Returns the event of the suspended response that an event of its connection means.
@@ -65,6 +67,7 @@
             started_at: self.now,
             first_byte_at: None,
             response_body: Vec::new(),
+            last_forwarded_at: self.now,
             attempts: 0,
             connection: None,
             suspended: None,
@@ -188,7 +191,10 @@
             Some(observation) => {
                 self.close_connection(machine, number, &mut call);
                 self.close_suspended(machine, number, &mut call);
-                self.record_outcome(machine, number, *call, observation);
+                let is_aborted = observation == ClientObservation::Aborted;
+                let silence = self.now - call.last_forwarded_at;
+                let left_worker_after = (is_aborted && result.has_left_worker).then_some(silence);
+                self.record_outcome(machine, number, *call, observation, left_worker_after);
             }
             None => {
                 self.set_timer(machine, number, &mut call);
@@ -215,15 +221,19 @@
             Effect::SendRequest { last_event_id, window, .. } => {
                 self.send_request(machine, number, call, last_event_id, window);
             }
-            Effect::CloseConnection => self.close_connection(machine, number, call),
+            Effect::CloseConnection => result.has_left_worker |= self.close_connection(machine, number, call),
             Effect::SuspendResponse => call.suspended = call.connection.take(),
             Effect::RestoreResponse => call.connection = call.suspended.take(),
-            Effect::CloseSuspended => self.close_suspended(machine, number, call),
+            Effect::CloseSuspended => result.has_left_worker |= self.close_suspended(machine, number, call),
             Effect::ForwardHead => {
                 call.first_byte_at = Some(self.now);
+                call.last_forwarded_at = self.now;
                 self.last_accepted_call = Some((machine, self.now));
             }
-            Effect::ForwardChunk(chunk) => call.response_body.extend_from_slice(&chunk),
+            Effect::ForwardChunk(chunk) => {
+                call.response_body.extend_from_slice(&chunk);
+                call.last_forwarded_at = self.now;
+            }
             Effect::FinishResponse => result.observation = Some(ClientObservation::Complete),
             Effect::AbortResponse(_) => result.observation = Some(ClientObservation::Aborted),
             Effect::Respond(response) => {
@@ -259,7 +269,14 @@
     }
 
     /// Records how a call ended for its client.
-    fn record_outcome(&mut self, machine: usize, number: u64, call: ActiveCall, observation: ClientObservation) {
+    fn record_outcome(
+        &mut self,
+        machine: usize,
+        number: u64,
+        call: ActiveCall,
+        observation: ClientObservation,
+        left_worker_after: Option<Micros>,
+    ) {
         self.call_outcomes.push(CallOutcome {
             call: number,
             request: call.request,
@@ -270,6 +287,7 @@
             body: call.response_body,
             was_attempted: call.attempts > 0,
             observation,
+            left_worker_after,
         });
     }
 
@@ -319,18 +337,24 @@
         self.schedule(due, SimEvent::RequestArrival(worker, request));
     }
 
-    /// Closes the connection of the current attempt, if any; the worker stops its request.
-    fn close_connection(&mut self, machine: usize, number: u64, call: &mut ActiveCall) {
-        if let Some(AttemptConnection { attempt, worker, .. }) = call.connection.take() {
-            self.cancel_request(worker, self.attempt_origin(machine, number, attempt));
-        }
+    /// Closes the connection of the current attempt, if any; the worker stops its request. Returns whether the worker
+    /// was at work on it.
+    fn close_connection(&mut self, machine: usize, number: u64, call: &mut ActiveCall) -> bool {
+        let connection = call.connection.take();
+        self.close(machine, number, connection)
     }
 
-    /// Closes the connection of the suspended response, if any; the worker stops its request.
-    fn close_suspended(&mut self, machine: usize, number: u64, call: &mut ActiveCall) {
-        if let Some(AttemptConnection { attempt, worker, .. }) = call.suspended.take() {
-            self.cancel_request(worker, self.attempt_origin(machine, number, attempt));
-        }
+    /// Closes the connection of the suspended response, if any; the worker stops its request. Returns whether the
+    /// worker was at work on it.
+    fn close_suspended(&mut self, machine: usize, number: u64, call: &mut ActiveCall) -> bool {
+        let connection = call.suspended.take();
+        self.close(machine, number, connection)
+    }
+
+    fn close(&mut self, machine: usize, number: u64, connection: Option<AttemptConnection>) -> bool {
+        connection.is_some_and(|AttemptConnection { attempt, worker, .. }| {
+            self.cancel_request(worker, self.attempt_origin(machine, number, attempt))
+        })
     }
 
     /// Ends all calls of a process that ended: clients and workers see their connections close.
@@ -344,7 +368,7 @@
         for (number, mut call) in std::mem::take(&mut self.machines[machine].calls.active) {
             self.close_connection(machine, number, &mut call);
             self.close_suspended(machine, number, &mut call);
-            self.record_outcome(machine, number, *call, ClientObservation::NodeLost);
+            self.record_outcome(machine, number, *call, ClientObservation::NodeLost, None);
         }
     }
 }
--- a/crates/testbed/src/sim/calls/call_registry.rs
+++ b/crates/testbed/src/sim/calls/call_registry.rs
@@ -28,6 +28,8 @@
     /// When the response head was forwarded, in microseconds of true time.
     pub(in crate::sim) first_byte_at: Option<Micros>,
     pub(in crate::sim) response_body: Vec<u8>,
+    /// When the head or a part of the body was last forwarded, in microseconds of true time.
+    pub(in crate::sim) last_forwarded_at: Micros,
     /// The number of attempts so far.
     pub(in crate::sim) attempts: u64,
     /// The connection of the current attempt.
--- a/crates/testbed/src/sim/calls/outcome.rs
+++ b/crates/testbed/src/sim/calls/outcome.rs
@@ -77,6 +77,9 @@
     pub was_attempted: bool,
     /// How the call ended for the client.
     pub observation: ClientObservation,
+    /// The time since the client last received bytes, if the response was aborted while a worker was at work that
+    /// would have sent the rest.
+    pub left_worker_after: Option<Micros>,
 }
 
 impl CallOutcome {
--- a/crates/testbed/src/sim/checks/calls.rs
+++ b/crates/testbed/src/sim/checks/calls.rs
@@ -4,7 +4,7 @@
 use crate::retry_allowance::{RetryAllowance, RetryExcess, RetryRecord};
 use crate::sim::calls::outcome::{CallOutcome, ClientObservation};
 use crate::sim::checks::safety::{REVOCATION_DEADLINE, Violation, WORKER_REMOVAL_DEADLINE};
-use crate::sim::operators::documents::REVOCABLE_TENANT;
+use crate::sim::operators::documents::{IDLE_TIMEOUT, REVOCABLE_TENANT};
 use crate::sim::workers::worker::ExecutionRecord;
 use std::collections::{BTreeMap, BTreeSet};
 use sumacvale_core::base::{Micros, Version};
@@ -80,6 +80,9 @@
             outcome.request.path, outcome.observation
         ));
     }
+    if outcome.left_worker_after.is_some_and(|silence| silence < IDLE_TIMEOUT) {
+        violations.push(format!("call {call} was cut while a worker was at work ({:?})", outcome.left_worker_after));
+    }
     match &outcome.observation {
         ClientObservation::Complete if runs.is_empty() => {
             violations.push(format!("call {call} got a success that no worker gave"));
--- a/crates/testbed/src/sim/faults/profiles.rs
+++ b/crates/testbed/src/sim/faults/profiles.rs
@@ -172,6 +172,18 @@
             duration_s: 60,
             changes: 10,
         },
+        Profile {
+            name: "silent",
+            faults: &[
+                FaultyWorker(WorkerBehaviour::Pause),
+                FaultyWorker(WorkerBehaviour::Pause),
+                FaultyWorker(WorkerBehaviour::Slow),
+                CrashWorker,
+                KillFront,
+            ],
+            duration_s: 60,
+            changes: 10,
+        },
         Profile {
             name: "outage",
             faults: &[AllWorkersFaulty, FaultyWorker(WorkerBehaviour::NoResponse), CrashWorker],
--- a/crates/testbed/src/sim/operators/documents.rs
+++ b/crates/testbed/src/sim/operators/documents.rs
@@ -21,6 +21,8 @@
 
 /// The tenant whose key only some versions have: it is revoked and granted again.
 pub const REVOCABLE_TENANT: &str = "r";
+/// How long a worker may send nothing before its response is aborted, in microseconds.
+pub const IDLE_TIMEOUT: Micros = 2 * SEC;
 /// How long a call may wait for a slot or a quota unit, in microseconds.
 pub const MAX_WAIT: Micros = 2 * SEC;
 
@@ -54,7 +56,7 @@
     };
     let match_entries = [
         match_entry(&format!("c{number}"), "chat", "llm", "chat\""),
-        match_entry("d", "draft", "llm", "draft\",\"resume\":true"),
+        match_entry("d", "draft", "llm", "draft\",\"resume\":true,\"gap_ms\":100"),
         match_entry("s", "summary", "llm", "summary\""),
         match_entry("q", "confirm", "app", "lookup\",\"repeat\":true"),
         match_entry("b", "book", "app", "lookup\""),
@@ -65,7 +67,8 @@
         format!("{{\"calls\":{QUOTA_CALLS},\"window_ms\":{}}}", QUOTA_WINDOW / MS)
     };
     format!(
-        "{{\"defaults\":{{\"quota\":{quota},\"first_ms\":3000,\"idle_ms\":2000,\"wait_ms\":{}}},\"pools\":{{\"llm\":{{}},\"app\":{{}}}},\"matches\":{{{}{extra_matches}}},\"tenants\":{{{}}}}}",
+        "{{\"defaults\":{{\"quota\":{quota},\"first_ms\":3000,\"idle_ms\":{},\"wait_ms\":{}}},\"pools\":{{\"llm\":{{}},\"app\":{{}}}},\"matches\":{{{}{extra_matches}}},\"tenants\":{{{}}}}}",
+        IDLE_TIMEOUT / MS,
         MAX_WAIT / MS,
         match_entries.join(","),
         tenant_entries.join(",")
--- a/crates/testbed/src/sim/workers/execution.rs
+++ b/crates/testbed/src/sim/workers/execution.rs
@@ -29,6 +29,10 @@
 const FIRST_PART_BYTES: usize = 9;
 /// The length of a single body that is aborted, in bytes.
 const ABORTED_BODY_BYTES: usize = 4;
+/// The event before which a worker of behaviour `Pause` sends nothing for a while.
+const PAUSED_EVENT: u64 = 2;
+/// How long such a worker sends nothing.
+const PAUSE: Micros = 1_600 * MS;
 /// The event that a worker of behaviour `Skip` omits.
 const SKIPPED_EVENT: u64 = 5;
 
@@ -180,12 +184,18 @@
         }
         let begin = if std::mem::take(&mut request.is_first_part_sent) { FIRST_PART_BYTES } else { 0 };
         request.next_event = number + 1;
-        WorkerStep::Continue(chunk(&text[begin..]), pause)
+        let is_paused = request.behaviour == WorkerBehaviour::Pause && request.next_event == PAUSED_EVENT;
+        WorkerStep::Continue(chunk(&text[begin..]), if is_paused { PAUSE } else { pause })
     }
 
-    /// Stops the request of a connection that the node closed.
-    pub(in crate::sim) fn cancel_request(&mut self, worker: usize, origin: AttemptOrigin) {
-        self.workers[worker].running.retain(|_, request| request.origin != origin);
+    /// Stops the request of a connection that the node closed. Returns whether the worker was at work on it and would
+    /// have sent the complete response.
+    pub(in crate::sim) fn cancel_request(&mut self, worker: usize, origin: AttemptOrigin) -> bool {
+        let now = self.now;
+        let worker = &mut self.workers[worker];
+        let is_reachable = worker.behaviour_at(now) != WorkerBehaviour::Unreachable;
+        let cancelled = worker.running.extract_if(.., |_, request| request.origin == origin);
+        cancelled.filter(|(_, request)| request.behaviour.is_sound()).count() > 0 && is_reachable
     }
 
     /// Makes the worker's next report.
--- a/crates/testbed/src/sim/workers/worker.rs
+++ b/crates/testbed/src/sim/workers/worker.rs
@@ -26,6 +26,15 @@
     Slow,
     /// Skips one event of resumable streams.
     Skip,
+    /// Sends nothing for a while in the middle of each stream, and then the rest.
+    Pause,
+}
+
+impl WorkerBehaviour {
+    /// Whether the worker sends the complete response, however late.
+    pub(in crate::sim) fn is_sound(self) -> bool {
+        matches!(self, WorkerBehaviour::Healthy | WorkerBehaviour::Slow | WorkerBehaviour::Pause)
+    }
 }
 
 /// The origin of one attempt: the node's process, the call, and the number of the attempt.
--- a/crates/testbed/tests/sim.rs
+++ b/crates/testbed/tests/sim.rs
@@ -110,6 +110,24 @@
     run_each("outage", 1..5, |summary| summary.ends["broken"] > 0 && summary.attempts.1 > 100);
 }
 
+#[test]
+fn the_check_of_calls_does_not_see_that_a_worker_at_work_is_left() {
+    let aborted_after = |silence| {
+        let outcome = seen(ClientObservation::Aborted, "id: 0\ndata: call 1 piece 0 of 10\n\n");
+        let outcome = CallOutcome { left_worker_after: Some(silence), ..outcome };
+        let limits = CallLimits { key_versions: vec![(2, 0, true)], ..CallLimits::default() };
+        check_calls(&[outcome], &[executed(1, "/v1/chat")], &limits)
+    };
+    let violations = aborted_after(SEC);
+    assert!(violations.iter().any(|violation| violation.0.contains("while a worker was at work")), "{violations:?}");
+    assert!(aborted_after(2 * SEC).is_empty(), "the idle time-out excuses it");
+}
+
+#[test]
+fn streams_of_silent_workers_are_cut() {
+    run_each("silent", 1..5, |summary| summary.streams_resumed > 10);
+}
+
 #[test]
 fn crowds_come_and_share_one_prefix() {
     run_each("crowds", 1..7, |summary| summary.ends["quota"] > 1_000 && summary.needless_rejections == 0);
@@ -338,6 +356,7 @@
         body,
         was_attempted: false,
         observation,
+        left_worker_after: None,
     }
 }
 
