--- a/crates/core/src/consensus/durable.rs
+++ b/crates/core/src/consensus/durable.rs
@@ -2,7 +2,7 @@
 
 use super::{DigestLog, trim_history};
 use crate::base::{Incarnation, NodeId, Version};
-use crate::protocol::{Ballot, EntryDigest, LogEntry, RegisteredIncarnation, Voter, WindowGrant};
+use crate::protocol::{Ballot, EntryDigest, LogEntry, RegisteredIncarnation, Voter, WindowGrant, WorkerReport};
 use std::collections::BTreeMap;
 
 /// A write that must be synced to disk before any message that depends on it is sent.
@@ -43,6 +43,10 @@
     Register(Vec<RegisteredIncarnation>),
     /// Deregisters incarnations of nodes, which no longer hold shares of rates.
     Deregister(Vec<(NodeId, Incarnation)>),
+    /// The report of a worker that drains or has left.
+    Removal(WorkerReport),
+    /// Forgets the removals of these workers, by id.
+    ForgetRemovals(Vec<String>),
 }
 
 impl DurableWrite {
@@ -80,6 +84,8 @@
     pub ready_set: Option<Version>,
     /// The addresses of the incarnations of nodes that may hold shares of rates.
     pub registered: BTreeMap<(NodeId, Incarnation), String>,
+    /// The reports of workers that drain or have left, by worker id.
+    pub removals: BTreeMap<String, WorkerReport>,
 }
 
 impl DurableState {
@@ -103,6 +109,10 @@
             }
             DurableWrite::Deregister(incarnations) => self.registered.retain(|key, _| !incarnations.contains(key)),
             DurableWrite::Grant(grant) => self.apply_grant(grant),
+            DurableWrite::Removal(report) => {
+                self.removals.insert(report.worker_id.clone(), report.clone());
+            }
+            DurableWrite::ForgetRemovals(worker_ids) => self.removals.retain(|id, _| !worker_ids.contains(id)),
         }
     }
 
--- a/crates/core/src/node/dispatch.rs
+++ b/crates/core/src/node/dispatch.rs
@@ -110,6 +110,7 @@
         // Runs once a second: the last view was published in an earlier second.
         if now / SEC != self.publisher.published_at / SEC {
             self.dissemination.expire(now);
+            self.forget_outdated_removals();
         }
     }
 
--- a/crates/core/src/node/dissemination/mod.rs
+++ b/crates/core/src/node/dissemination/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! - [`gossip`]: heartbeats and records of nodes;
 //! - [`reports`] and [`updates`]: reports of workers, passed on to the nodes that subscribe to them;
-//! - [`removals`]: workers that drain or leave, acknowledged once a majority of the voters knows the removal;
+//! - [`removals`]: workers that drain or leave, acknowledged once a majority of the voters has the removal on disk;
 //! - [`contact`] and [`reachability`]: whether this node exchanges messages with a majority of the voters;
 //! - [`peer_clocks`]: bounds on the clocks of peers, so that no report is taken for younger than it is;
 //! - [`peer_incarnations`]: restarted peers, whose old connections are dead.
@@ -24,8 +24,9 @@
 
 pub(in crate::node) use contact::QUORUM_TIMEOUT;
 
-use super::{Envelope, Node};
+use super::{Envelope, Node, NodeSettings};
 use crate::base::Micros;
+use crate::consensus::DurableState;
 use crate::peers::PeerTable;
 use crate::protocol::DisseminationMessage;
 use crate::workers::{WaitingRequest, WorkerTable};
@@ -53,10 +54,15 @@
 
 impl Dissemination {
     /// Creates the state after a start. The first subscription has the number after `first_request`.
-    pub(super) fn new(report_interval: Micros, first_request: u64, now: Micros) -> Self {
+    pub(super) fn new(settings: &NodeSettings, durable: &DurableState, first_request: u64, now: Micros) -> Self {
+        let report_interval = settings.report_interval;
+        let mut workers = WorkerTable { last_request_seq: first_request, report_interval, ..WorkerTable::default() };
+        for report in durable.removals.values() {
+            workers.restore_removal(report, settings.node_id, now);
+        }
         Dissemination {
             peers: PeerTable::default(),
-            workers: WorkerTable { last_request_seq: first_request, report_interval, ..WorkerTable::default() },
+            workers,
             heartbeat: 0,
             contact: contact::Contact::new(now),
             pending_acks: Vec::new(),
--- a/crates/core/src/node/dissemination/removals.rs
+++ b/crates/core/src/node/dissemination/removals.rs
@@ -1,13 +1,13 @@
-//! Removals of workers: sent to every live node at once, and acknowledged once a majority of the voters knows
-//! them.
+//! Removals of workers: sent to every live node at once, and acknowledged once a majority of the voters has
+//! them on disk.
 //!
-//! An acknowledged removal is known to a majority of the voters, so it survives the loss of this node: each
-//! core that knows the removal spreads it too. The acknowledgement waits a short time for all live nodes, so
+//! An acknowledged removal survives the loss of this node and a restart of all nodes at once: each core that knows
+//! the removal spreads it too, and spreads it again after its start. The acknowledgement waits a short time for all live nodes, so
 //! that the worker may usually stop at once. If no majority replies, the removal is not acknowledged.
 
 use super::contact::QUORUM_TIMEOUT;
 use crate::base::{Micros, NodeId};
-use crate::consensus::is_majority;
+use crate::consensus::{DurableWrite, is_majority};
 use crate::node::{Effect, Node};
 use crate::protocol::{DisseminationMessage, Message, RemovalKey, WorkerReport};
 use crate::workers::removals::{ALL_NODES_TIMEOUT, REMOVAL_TIMEOUT, RESEND_INTERVAL};
@@ -59,6 +59,7 @@
         if let Some(removal) = self.dissemination.workers.removals.start(&key, now, now) {
             removal.waiting_requests.push(WaitingRequest { request_id, received_at: now });
         }
+        self.count_own_removal(key, now);
         self.tick_removals(now);
     }
 
@@ -145,7 +146,7 @@
     }
 
     /// Answers the requests of a removal that need not wait any longer. Returns whether a majority of the
-    /// voters knows the removal.
+    /// voters has the removal on disk.
     fn answer_waiting_requests(
         &self,
         removal: &mut Removal,
@@ -156,10 +157,8 @@
         let voters = self.consensus.state.voters();
         let is_voter = self.is_voter();
         // Knowledge of all reachable nodes proves nothing if this node is partitioned together with them.
-        let mut known_by = removal.known_by.clone();
-        known_by.extend(is_voter.then_some(self.settings.node_id));
-        let is_committed = !voters.is_empty() && is_majority(voters, &known_by);
-        let no_voter_knows = !voters.iter().any(|voter| known_by.contains(&voter.node_id));
+        let is_committed = !voters.is_empty() && is_majority(voters, &removal.known_by);
+        let no_voter_knows = !voters.iter().any(|voter| removal.known_by.contains(&voter.node_id));
         let should_abandon = |since: Micros| {
             if is_voter {
                 self.should_redirect(since, now)
@@ -198,7 +197,37 @@
         }
     }
 
-    /// Applies the removals from a node, and acknowledges them. `delay` is the transit time of the frame
+    /// Writes the removal of a worker to this core's disk, and then counts this core among the nodes that know it.
+    pub(in crate::node) fn persist_removal(&mut self, worker_id: &str, now: Micros) {
+        let workers = &mut self.dissemination.workers;
+        let Some(entry) = workers.entries.get(worker_id) else { return };
+        let report = WorkerReport { age: 0, ..entry.report.clone() };
+        workers.removals_on_disk.insert(report.worker_id.clone());
+        let key = report.removal_key();
+        self.persist(vec![DurableWrite::Removal(report)], Vec::new());
+        self.count_own_removal(key, now);
+    }
+
+    /// Counts this core among the nodes that know a removal, once the removal is on its disk.
+    fn count_own_removal(&mut self, key: RemovalKey, now: Micros) {
+        if !self.settings.is_core {
+            return;
+        }
+        let message = Message::Dissemination(DisseminationMessage::RemovalsReceived { keys: vec![key] });
+        if let Some(effect) = self.send_effect(self.settings.node_id, message, now) {
+            self.emit_after_sync(effect);
+        }
+    }
+
+    /// Forgets the removals on disk of workers that returned to service or were dropped from the table.
+    pub(in crate::node) fn forget_outdated_removals(&mut self) {
+        let outdated = self.dissemination.workers.take_outdated_removals_on_disk();
+        if !outdated.is_empty() {
+            self.persist(vec![DurableWrite::ForgetRemovals(outdated)], Vec::new());
+        }
+    }
+
+    /// Applies the removals from a node, and acknowledges them once they are on this core's disk. `delay` is the transit time of the frame
     /// beyond that of the fastest frame from the same sender, in microseconds.
     pub(in crate::node) fn on_removals(&mut self, from: NodeId, reports: &[WorkerReport], delay: Micros, now: Micros) {
         let mut keys: Vec<RemovalKey> = Vec::new();
@@ -206,13 +235,12 @@
             // A removal stays valid whatever its transit time.
             let made_at = now.saturating_sub(report.age.saturating_add(delay));
             self.apply_report(report, made_at, now);
-            let key = report.removal_key();
-            if let Some(removal) = self.dissemination.workers.removals.get(&key) {
-                removal.known_by.insert(from);
-            }
-            keys.push(key);
+            keys.push(report.removal_key());
+        }
+        let message = Message::Dissemination(DisseminationMessage::RemovalsReceived { keys });
+        if let Some(effect) = self.send_effect(from, message, now) {
+            self.emit_after_sync(effect);
         }
-        self.send(from, Message::Dissemination(DisseminationMessage::RemovalsReceived { keys }), now);
     }
 
     /// Records a node's acknowledgement of removals.
--- a/crates/core/src/node/dissemination/reports.rs
+++ b/crates/core/src/node/dissemination/reports.rs
@@ -65,6 +65,7 @@
         } else if self.settings.is_core && !is_known_removal {
             // Every core keeps a removal, in case the core that spreads the removal is lost.
             workers.removals.start(&report.removal_key(), now + REMOVAL_TAKEOVER_DELAY, now);
+            self.persist_removal(&report.worker_id, now);
         }
         true
     }
--- a/crates/core/src/node/membership/registrations.rs
+++ b/crates/core/src/node/membership/registrations.rs
@@ -168,9 +168,7 @@
             self.persist(vec![DurableWrite::Register(new)], then);
         } else if let Some(effect) = self.send_effect(from, message, now) {
             // A known registration may not be synced to disk yet.
-            if let Err(effect) = self.outbox.defer(effect) {
-                self.emit(effect);
-            }
+            self.emit_after_sync(effect);
         }
     }
 }
--- a/crates/core/src/node/mod.rs
+++ b/crates/core/src/node/mod.rs
@@ -104,7 +104,7 @@
             membership: Membership::new(durable, now),
             leases: Leases::new(durable, last_request_id, earlier_sets_fence_until, now),
             quota: Quota::new(durable, &config, now),
-            dissemination: Dissemination::new(settings.report_interval, last_request_id, now),
+            dissemination: Dissemination::new(&settings, durable, last_request_id, now),
             config: Arc::new(config),
             counters: Counters::default(),
             is_draining: false,
--- a/crates/core/src/node/outbox.rs
+++ b/crates/core/src/node/outbox.rs
@@ -176,6 +176,13 @@
         self.outbox.begin_write(writes, deferred);
     }
 
+    /// Emits an effect once all earlier writes are synced.
+    pub(super) fn emit_after_sync(&mut self, effect: Effect) {
+        if let Err(effect) = self.outbox.defer(effect) {
+            self.emit(effect);
+        }
+    }
+
     /// Returns whether more than [`MAX_UNSYNCED_BYTES`] wait for the disk.
     ///
     /// A core whose disk stalls or is full then stops voting, which bounds its memory. The versions that it
--- a/crates/core/src/workers/removals.rs
+++ b/crates/core/src/workers/removals.rs
@@ -1,6 +1,6 @@
 //! Removals of workers that drain or have left, tracked until every live node knows them.
 //!
-//! A removal is acknowledged once a majority of the voters knows it and either all live nodes know it or
+//! A removal is acknowledged once a majority of the voters has it on disk and either all live nodes know it or
 //! [`ALL_NODES_TIMEOUT`] has passed. After [`REMOVAL_TIMEOUT`] the request is rejected, and the worker must report
 //! to another core.
 
@@ -37,7 +37,7 @@
     pub started_at: Micros,
     /// When the removal is next sent to the nodes that have not acknowledged it, in microseconds.
     pub next_send_at: Micros,
-    /// The other nodes that know the removal.
+    /// The nodes that know the removal; a core counts once the removal is on its disk.
     pub known_by: BTreeSet<NodeId>,
     /// The requests that reported the removal and wait to be acknowledged.
     pub waiting_requests: Vec<WaitingRequest>,
--- a/crates/core/src/workers/table.rs
+++ b/crates/core/src/workers/table.rs
@@ -8,7 +8,7 @@
 use super::Removals;
 use crate::base::{Incarnation, MS, Micros, NodeId, SEC};
 use crate::protocol::WorkerReport;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 /// The time without a report after which a worker is sent no requests, if it reports at the shortest interval, in
 /// microseconds.
@@ -117,6 +117,8 @@
     pub report_interval: Micros,
     /// Removals that are being disseminated to every live node.
     pub removals: Removals,
+    /// The ids of the workers whose removals are on this core's disk or are being written to it.
+    pub removals_on_disk: BTreeSet<String>,
     /// When a core was last known to be reachable, in microseconds; 0 if none ever was.
     pub core_contact_at: Micros,
     /// When a core was first found to be reachable, in microseconds; 0 if none ever was.
@@ -264,6 +266,29 @@
             .collect()
     }
 
+    /// Takes over a removal that was on the disk of this node at its start, as if it was reported now.
+    pub fn restore_removal(&mut self, report: &WorkerReport, node_id: NodeId, now: Micros) {
+        if self.merge_report(report, now, now) != MergeOutcome::Applied {
+            return;
+        }
+        self.removals_on_disk.insert(report.worker_id.clone());
+        if let Some(removal) = self.removals.start(&report.removal_key(), now, now) {
+            removal.known_by.insert(node_id);
+        }
+    }
+
+    /// Removes and returns the ids of the workers whose removals need not be on disk any longer: they returned to
+    /// service or were dropped from the table.
+    pub fn take_outdated_removals_on_disk(&mut self) -> Vec<String> {
+        let is_out_of_service =
+            |id: &String| self.entries.get(id).is_some_and(|entry| entry.report.is_out_of_service());
+        let outdated: Vec<_> = self.removals_on_disk.iter().filter(|id| !is_out_of_service(id)).cloned().collect();
+        for worker_id in &outdated {
+            self.removals_on_disk.remove(worker_id);
+        }
+        outdated
+    }
+
     /// Drops expired workers, subscribers, removals and unreachable periods.
     pub fn expire(&mut self, now: Micros) {
         self.entries.retain(|_, entry| now.saturating_sub(entry.reported_at) < ENTRY_RETENTION);
--- a/crates/core/tests/golden/folder.rs
+++ b/crates/core/tests/golden/folder.rs
@@ -40,6 +40,16 @@
         stored
     }
 
+    /// Returns the bytes of a golden file that the program reads and no longer writes.
+    ///
+    /// # Panics
+    ///
+    /// If the file is missing.
+    #[allow(dead_code, reason = "only the golden records have files of this kind")]
+    pub fn read(&self, file_name: &str) -> Vec<u8> {
+        fs::read(self.path.join(file_name)).unwrap_or_else(|error| panic!("golden file {file_name}: {error}"))
+    }
+
     /// Checks that the folder holds the named files and no others.
     pub fn expect_only<'a>(&self, file_names: impl Iterator<Item = &'a str>) {
         let mut expected = BTreeSet::new();
--- a/crates/core/tests/workers.rs
+++ b/crates/core/tests/workers.rs
@@ -109,6 +109,10 @@
 struct Net {
     now: Micros,
     nodes: Vec<Option<Node>>,
+    /// The synced state of each machine's disk; fronts write nothing.
+    disks: Vec<DurableState>,
+    /// The machines whose disks sync nothing.
+    stalled_disks: Vec<usize>,
     /// Frames in flight, by arrival time and number.
     frames: BTreeMap<(Micros, u64), InFlightFrame>,
     /// Partitioned machines, all of whose frames are lost.
@@ -164,6 +168,10 @@
         let mut net = Net {
             now: SEC,
             nodes: (0..MACHINES).map(|_| None).collect(),
+            disks: (0..MACHINES)
+                .map(|machine| if machine < CORES { core_disk() } else { DurableState::default() })
+                .collect(),
+            stalled_disks: Vec::new(),
             frames: BTreeMap::new(),
             cut_off: Vec::new(),
             frame_number: 0,
@@ -193,8 +201,7 @@
             report_interval: 1_200 * MS,
             workers_report_to_cores_only: true,
         };
-        let disk = if machine < CORES { core_disk() } else { DurableState::default() };
-        self.nodes[machine] = Some(Node::new(settings, &disk, node_id, self.now));
+        self.nodes[machine] = Some(Node::new(settings, &self.disks[machine], node_id, self.now));
         self.workers[machine].clear();
     }
 
@@ -209,7 +216,13 @@
                     let in_flight = InFlightFrame { from: machine, to, frame: *frame };
                     self.frames.insert((now + MS, self.frame_number), in_flight);
                 }
-                Effect::Write { token, .. } => self.step(machine, Event::Synced(token)),
+                Effect::Write { .. } if self.stalled_disks.contains(&machine) => {}
+                Effect::Write { token, writes } => {
+                    for write in &writes {
+                        self.disks[machine].apply(write);
+                    }
+                    self.step(machine, Event::Synced(token));
+                }
                 Effect::AcknowledgeReport { request_id, is_accepted } => {
                     self.acknowledgements.push(Acknowledgement { request_id, is_accepted, at: now });
                 }
@@ -239,6 +252,16 @@
         }
     }
 
+    /// Kills all machines at once, and starts them again on their disks after half a second.
+    fn kill_and_restart_all(&mut self) {
+        self.nodes.iter_mut().for_each(|node| *node = None);
+        self.frames.clear();
+        self.run(500 * MS);
+        for machine in 0..MACHINES {
+            self.start(machine, machine as u64 + 1);
+        }
+    }
+
     fn report(&mut self, machine: usize, request_id: u64, report: WorkerReport) {
         self.step(machine, Event::ReportWithAck { request_id, report });
     }
@@ -358,6 +381,63 @@
     }
 }
 
+#[test]
+fn a_late_report_revives_no_removed_worker_after_all_machines_lost_power() {
+    for (name, removal) in [("drain", drain("a", 5)), ("removal", leave("a", 5)), ("id", WorkerReport::removal("a", 1))]
+    {
+        for reported_to in [0, CORES] {
+            let mut net = Net::new();
+            net.report(0, 1, report("a", 4));
+            net.run(500 * MS);
+            net.report(reported_to, 2, removal.clone());
+            while net.answer(2).is_none() {
+                net.run(MS);
+            }
+            assert_eq!(net.answer(2).map(|answer| answer.0), Some(true), "{name} to {reported_to}");
+            net.kill_and_restart_all();
+            net.run(2 * SEC);
+            for machine in 0..CORES {
+                net.report(machine, 10 + machine as u64, unnumbered("a", 3));
+                net.run(200 * MS);
+                let revived = net.running_fronts_using("a");
+                assert!(revived.is_empty(), "{name} to {reported_to}: a late report revives it at {revived:?}");
+            }
+            net.run(40 * SEC);
+            let kept = net.disks.iter().filter(|disk| !disk.removals.is_empty()).count();
+            assert_eq!(kept, 0, "{name} to {reported_to}: no removal is kept for ever");
+        }
+    }
+}
+
+#[test]
+fn no_removal_is_acknowledged_that_a_majority_does_not_have_on_disk() {
+    for reported_to in [0, CORES] {
+        let mut net = Net::new();
+        net.report(0, 1, report("a", 1));
+        net.run(500 * MS);
+        net.stalled_disks = vec![1, 2];
+        net.report(reported_to, 2, drain("a", 2));
+        net.run(950 * MS);
+        assert_eq!(net.answer(2).map(|answer| answer.0), Some(false), "reported to {reported_to}");
+    }
+}
+
+#[test]
+fn a_worker_that_returned_to_service_serves_after_all_machines_lost_power() {
+    let mut net = Net::new();
+    net.report(0, 1, report("a", 1));
+    net.run(500 * MS);
+    net.report(0, 2, leave("a", 2));
+    net.run(SEC);
+    net.report(0, 3, WorkerReport { incarnation: 2, ..report("a", 3) });
+    net.run(1_500 * MS);
+    net.kill_and_restart_all();
+    net.run(2 * SEC);
+    net.report(0, 4, unnumbered("a", 4));
+    net.run(500 * MS);
+    assert_eq!(net.fronts_using("a").len(), MACHINES - CORES);
+}
+
 #[test]
 fn no_removal_is_acknowledged_that_no_other_core_knows() {
     let mut net = Net::new();
--- a/crates/node/src/disk/database.rs
+++ b/crates/node/src/disk/database.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 use sumacvale_core::base::{Incarnation, NodeId, Version};
 use sumacvale_core::consensus::{DurableState, DurableWrite, MAX_DIGESTS, lowest_retained_version};
-use sumacvale_core::protocol::{EntryDigest, LogEntry, RegisteredIncarnation, WindowGrant};
+use sumacvale_core::protocol::{EntryDigest, LogEntry, RegisteredIncarnation, WindowGrant, WorkerReport};
 
 /// Pause between attempts to open the database while the disk takes no writes.
 const OPEN_RETRY_INTERVAL: Duration = Duration::from_millis(200);
@@ -194,6 +194,8 @@
         DurableWrite::Register(incarnations) => register(transaction, incarnations),
         DurableWrite::Deregister(incarnations) => deregister(transaction, incarnations),
         DurableWrite::Grant(grant) => put_grant(transaction, grant),
+        DurableWrite::Removal(report) => put_removal(transaction, report),
+        DurableWrite::ForgetRemovals(worker_ids) => delete_removals(transaction, worker_ids),
     }
 }
 
@@ -250,6 +252,23 @@
     Ok(())
 }
 
+/// Stores the report of a worker that drains or has left.
+fn put_removal(transaction: &Transaction, report: &WorkerReport) -> Result<(), DiskError> {
+    transaction
+        .prepare_cached("INSERT OR REPLACE INTO removal VALUES (?1, ?2)")?
+        .execute(params![report.worker_id, record::encode(report)?])?;
+    Ok(())
+}
+
+/// Deletes the removals of workers.
+fn delete_removals(transaction: &Transaction, worker_ids: &[String]) -> Result<(), DiskError> {
+    let mut delete = transaction.prepare_cached("DELETE FROM removal WHERE worker = ?1")?;
+    for worker_id in worker_ids {
+        delete.execute([worker_id])?;
+    }
+    Ok(())
+}
+
 /// Stores a grant of the newest window and deletes grants of the tenant's earlier windows.
 fn put_grant(transaction: &Transaction, grant: &WindowGrant) -> Result<(), DiskError> {
     let window = to_sql_integer(grant.window);
--- a/crates/node/src/disk/load.rs
+++ b/crates/node/src/disk/load.rs
@@ -6,7 +6,7 @@
 use rusqlite::{Connection, OptionalExtension};
 use sumacvale_core::base::NodeId;
 use sumacvale_core::consensus::DurableState;
-use sumacvale_core::protocol::{EntryDigest, LogEntry, WindowGrant};
+use sumacvale_core::protocol::{EntryDigest, LogEntry, WindowGrant, WorkerReport};
 
 /// Reads the whole durable state; error messages name the data folder as `folder`.
 pub(super) fn load(connection: &Connection, folder: &str) -> Result<DurableState, DiskError> {
@@ -18,6 +18,7 @@
     loader.read_epochs(&mut state)?;
     loader.read_grants(&mut state)?;
     loader.read_incarnations(&mut state)?;
+    loader.read_removals(&mut state)?;
     Ok(state)
 }
 
@@ -138,4 +139,13 @@
         }
         Ok(())
     }
+
+    fn read_removals(&self, state: &mut DurableState) -> Result<(), DiskError> {
+        let mut query = self.connection.prepare("SELECT body FROM removal")?;
+        for body in query.query_map([], |row| row.get::<_, Vec<u8>>(0))? {
+            let report: WorkerReport = self.decode(&body?, "the removal of a worker")?;
+            state.removals.insert(report.worker_id.clone(), report);
+        }
+        Ok(())
+    }
 }
--- a/crates/node/src/disk/schema.rs
+++ b/crates/node/src/disk/schema.rs
@@ -36,7 +36,7 @@
 ///   tenant. `nid`: the node id, as above. `win`: the number of the window. `cum`: the cumulative units
 ///   granted to that node in it.
 ///
-/// [`create_later_tables`] creates two more tables.
+/// [`create_later_tables`] creates the other tables.
 pub(super) fn create(file: &Path, node_id: NodeId) -> Result<(), DiskError> {
     let mut connection = Connection::open(file)?;
     connection.execute_batch("PRAGMA journal_mode=WAL; PRAGMA synchronous=FULL;")?;
@@ -73,10 +73,13 @@
 /// - `digest`: hashes of log entries, also of those whose bodies are no longer kept, by which a
 ///   repeated request is recognised. `ver`: the log index. `body`: the encoded `EntryDigest` and its
 ///   checksum.
+/// - `removal`: the workers that drain or have left, so that no late report returns them to service after a
+///   restart. `worker`: the worker's id. `body`: the encoded `WorkerReport` and its checksum.
 pub(super) fn create_later_tables(connection: &Connection) -> rusqlite::Result<()> {
     connection.execute_batch(
         "CREATE TABLE IF NOT EXISTS life (nid BLOB NOT NULL, inc INTEGER NOT NULL, addr TEXT NOT NULL, PRIMARY KEY (nid, inc));
-             CREATE TABLE IF NOT EXISTS digest (ver INTEGER PRIMARY KEY, body BLOB NOT NULL);",
+             CREATE TABLE IF NOT EXISTS digest (ver INTEGER PRIMARY KEY, body BLOB NOT NULL);
+             CREATE TABLE IF NOT EXISTS removal (worker TEXT PRIMARY KEY, body BLOB NOT NULL);",
     )
 }
 
--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -7,7 +7,9 @@
 use std::process::{Command, Stdio};
 use sumacvale_core::base::{ChangeId, NodeId};
 use sumacvale_core::consensus::{DurableState, DurableWrite, MAX_DIGESTS, MAX_HISTORY_BYTES};
-use sumacvale_core::protocol::{Ballot, EntryDigest, LogEntry, RegisteredIncarnation, Voter, WindowGrant};
+use sumacvale_core::protocol::{
+    Ballot, EntryDigest, LogEntry, RegisteredIncarnation, Voter, WindowGrant, WorkerReport,
+};
 use sumacvale_node::disk::{Database, DiskError, DiskWriter, WriteJob};
 
 /// A folder for one test, removed at its end.
@@ -70,6 +72,9 @@
     };
     writes.push(DurableWrite::Register(vec![incarnation(1, 1), incarnation(2, u64::MAX), incarnation(2, 3)]));
     writes.push(DurableWrite::Deregister(vec![(NodeId(2), 3), (NodeId(9), 1)]));
+    let removal = |worker_id, incarnation| DurableWrite::Removal(WorkerReport::removal(worker_id, incarnation));
+    writes.extend([removal("a", 1), removal("b", 1), removal("a", 2), removal("c", 1)]);
+    writes.push(DurableWrite::ForgetRemovals(vec!["b".into(), "none".into()]));
     writes
 }
 
--- a/crates/node/tests/golden_records/main.rs
+++ b/crates/node/tests/golden_records/main.rs
@@ -2,8 +2,9 @@
 //! renamed in the code.
 //!
 //! - `records/*.bin` are the encoded records of the database with their checksums.
-//! - `records/database.sql` is the whole database as SQL: its tables and all rows, including those that
-//!   are not encoded records, such as grants and incarnations.
+//! - `records/database-with-removals.sql` is the whole database as SQL: its tables and all rows, including those
+//!   that are not encoded records, such as grants and incarnations.
+//! - `records/database.sql` is the same of the releases that had no table of removals.
 //!
 //! The tests write to a real database and compare its content with the golden files. They also create a
 //! database from the golden files and compare the state read from it with the state that was written.
@@ -22,16 +23,21 @@
 use folder::GoldenFolder;
 use rusqlite::Connection;
 use rusqlite::types::Value;
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use sumacvale_core::base::NodeId;
 use sumacvale_core::consensus::{DurableState, DurableWrite};
 use sumacvale_core::protocol::{LogEntry, WindowGrant};
 use sumacvale_node::disk::Database;
-use values::{ballot, body_decree, core, digest, full_decree, grant, life};
+use values::{ballot, body_decree, core, digest, full_decree, grant, life, removal_report, worker_report};
 
 const NODE: NodeId = NodeId(0xD15C_0000_0000_0077);
 /// The golden file that holds the whole database.
-const DATABASE: &str = "database.sql";
+const DATABASE: &str = "database-with-removals.sql";
+/// The golden file that holds the whole database of the releases without a table of removals.
+const DATABASE_WITHOUT_REMOVALS: &str = "database.sql";
+/// The golden record that the releases without a table of removals don't have.
+const REMOVAL: &str = "removal.bin";
 
 /// Each golden record, and the query that reads it from the database.
 const RECORDS: &[(&str, &str)] = &[
@@ -42,6 +48,7 @@
     ("promise.bin", "SELECT body FROM vote WHERE what = 'promise'"),
     ("accept.bin", "SELECT body FROM vote WHERE what = 'accept'"),
     ("pledge.bin", "SELECT body FROM vote WHERE what = 'pledge'"),
+    (REMOVAL, "SELECT body FROM removal WHERE worker = 'worker-2'"),
 ];
 
 /// A log entry committed by a patch; the disk holds its body and the patch, but no compressed body.
@@ -63,6 +70,8 @@
         DurableWrite::Grant(grant_on_disk(2)),
         DurableWrite::Ready(4_006),
         DurableWrite::Register(vec![life(1), life(2)]),
+        DurableWrite::Removal(worker_report()),
+        DurableWrite::Removal(removal_report()),
     ]
 }
 
@@ -162,19 +171,29 @@
     drop(connection);
     assert_eq!(read_database(&written.0), expected(), "the written state is read");
 
-    // A data folder as the release that wrote the golden files left it.
-    let created = TemporaryFolder::new("created");
+    let without_removals = DurableState { removals: BTreeMap::new(), ..expected() };
+    let earlier_records: Vec<_> = records.iter().filter(|(name, _)| *name != REMOVAL).cloned().collect();
+    let earlier = golden().read(DATABASE_WITHOUT_REMOVALS);
+    check_golden_database(DATABASE, &stored, &records, &expected());
+    check_golden_database(DATABASE_WITHOUT_REMOVALS, &earlier, &earlier_records, &without_removals);
+
+    let file_names = RECORDS.iter().map(|(file_name, _)| *file_name);
+    golden().expect_only(file_names.chain([DATABASE, DATABASE_WITHOUT_REMOVALS]));
+}
+
+/// Creates a data folder as the release that wrote a golden database left it, and checks its records and the state
+/// that is read from it.
+fn check_golden_database(name: &str, sql: &[u8], records: &[(&str, Vec<u8>)], expected: &DurableState) {
+    let created = TemporaryFolder::new(name);
     let connection = created.connect();
-    connection.execute_batch(std::str::from_utf8(&stored).expect("SQL is text")).expect("creates the database");
-    for ((_, query), (file_name, record)) in RECORDS.iter().zip(&records) {
+    connection.execute_batch(std::str::from_utf8(sql).expect("SQL is text")).expect("creates the database");
+    for (file_name, record) in records {
+        let (_, query) = RECORDS.iter().find(|(name, _)| name == file_name).expect("a golden record");
         let stored_record: Vec<u8> = connection.query_row(query, [], |row| row.get(0)).expect("the record is there");
-        assert_eq!(&stored_record, record, "{file_name}: {DATABASE} holds the same record");
+        assert_eq!(&stored_record, record, "{file_name}: {name} holds the same record");
     }
     drop(connection);
-    assert_eq!(read_database(&created.0), expected(), "the golden database is read");
-
-    let file_names = RECORDS.iter().map(|(file_name, _)| *file_name);
-    golden().expect_only(file_names.chain([DATABASE]));
+    assert_eq!(read_database(&created.0), *expected, "{name} is read");
 }
 
 /// Compares a record in the database with its golden file; returns the file's name and content.
@@ -187,7 +206,7 @@
 fn every_kind_of_write_is_covered() {
     let mut kinds: Vec<&str> = writes().iter().map(kind).collect();
     kinds.dedup();
-    assert_eq!(kinds.len(), 9, "one for each kind of write that adds something: {kinds:?}");
+    assert_eq!(kinds.len(), 10, "one for each kind of write that adds something: {kinds:?}");
 }
 
 /// Returns the name of a kind of write. A new kind doesn't compile before it is named here; also add it
@@ -205,5 +224,8 @@
         DurableWrite::Register(_) => "register",
         // Not in `writes`, because it only deletes what `Register` adds.
         DurableWrite::Deregister(_) => "deregister",
+        DurableWrite::Removal(_) => "removal",
+        // Not in `writes`, because it only deletes what `Removal` adds.
+        DurableWrite::ForgetRemovals(_) => "forget removals",
     }
 }
--- a/crates/node/tests/old_data_folder.rs
+++ b/crates/node/tests/old_data_folder.rs
@@ -50,6 +50,9 @@
 /// compress the same body to other bytes, so the test identifies those of the fixture by their hash.
 const COMPRESSED_HASH: u64 = 6_781_517_488_793_589_917;
 
+/// The table that the release which wrote the fixture did not have.
+const REMOVALS_TABLE: &str = "removal";
+
 /// The columns of the database: table, column, type, whether the column is NOT NULL, and its position in
 /// the primary key (0: none).
 const SCHEMA: &[(&str, &str, &str, bool, u32)] = &[
@@ -71,6 +74,8 @@
     ("quota", "nid", "BLOB", true, 2),
     ("quota", "win", "INTEGER", true, 0),
     ("quota", "cum", "INTEGER", true, 0),
+    (REMOVALS_TABLE, "worker", "TEXT", false, 1),
+    (REMOVALS_TABLE, "body", "BLOB", true, 0),
     ("vote", "what", "TEXT", false, 1),
     ("vote", "body", "BLOB", true, 0),
 ];
@@ -270,6 +275,7 @@
             ((FRONT, u64::MAX), "10.0.1.1:7001".to_owned()),
             ((NodeId(44), 3), "10.0.1.2:7000".to_owned()),
         ]),
+        removals: BTreeMap::new(),
     }
 }
 
@@ -443,7 +449,11 @@
 #[test]
 fn old_and_new_folders_have_the_same_schema() {
     let old = TemporaryFolder::with_fixture("schema");
-    assert_eq!(read_schema(&old.0), expected_schema(), "the old folder");
+    let mut old_schema = expected_schema();
+    old_schema.retain(|column| column.0 != REMOVALS_TABLE);
+    assert_eq!(read_schema(&old.0), old_schema, "the old folder");
+    drop(Database::open(&old.0, THIS_CORE).expect("opens the old folder"));
+    assert_eq!(read_schema(&old.0), expected_schema(), "the old folder once it was opened");
     let new = TemporaryFolder::new("schema-new");
     drop(Database::open(&new.0, THIS_CORE).expect("creates a database"));
     assert_eq!(read_schema(&new.0), expected_schema(), "a new folder");
--- a/crates/testbed/tests/sim.rs
+++ b/crates/testbed/tests/sim.rs
@@ -551,7 +551,7 @@
         "closing wipe_after_ack",
         "closing wipe_after_ack, others lose power",
     ];
-    assert_all_occur("control_power", 1..13, &expected);
+    assert_all_occur("control_power", 1..17, &expected);
 }
 
 #[test]
