--- a/crates/testbed/tests/trials.rs
+++ b/crates/testbed/tests/trials.rs
@@ -342,7 +342,8 @@
         ensure(log.runs().is_empty(), "the call ran")?;
         fleet.wait_until_ready(Duration::from_secs(12)).await?;
         let record = client(&fleet, "/v1/chat", 0).call(&fleet.nodes[4].front(), "awake", "x").await;
-        ensure(record.observation == ClientObservation::Complete, format!("{:?}", record.observation))
+        let message = format!("{:?} after {} ms", record.observation, record.total.as_millis());
+        ensure(record.observation == ClientObservation::Complete, message)
     });
 }
 
