One function ends an aborted response, one assertion checks a simulated run

abort_response (call/abort.rs) counts and aborts where streaming.rs and acquire_slot.rs did so twice; Summary::assert_no_violation replaces six copies of the same assertion in sim.rs and repairs.rs.

--- a/crates/core/src/call/abort.rs
+++ b/crates/core/src/call/abort.rs
@@ -1,7 +1,9 @@
 //! Responses that are aborted after their head was forwarded: the cause, why no other worker continued, and a
 //! counter for each cause.
 
+use super::context::StepContext;
 use super::counters::Counter;
+use super::io::{Effect, Effects};
 use super::rejections::RejectionReason;
 use crate::base::Micros;
 
@@ -97,3 +99,10 @@
         self.0[cause as usize].get()
     }
 }
+
+/// Counts an abort, and aborts the response to the client.
+pub(super) fn abort_response(abort: ResponseAbort, context: &mut StepContext, effects: &mut Effects) {
+    context.shared.aborts.add(abort.cause);
+    context.shared.counters.streams_aborted.increment();
+    effects.push(Effect::AbortResponse(abort));
+}
--- a/crates/core/src/call/steps/acquire_slot.rs
+++ b/crates/core/src/call/steps/acquire_slot.rs
@@ -3,7 +3,7 @@
 
 use super::suspension::{close_suspended, restore_after_failure};
 use crate::base::{Micros, SEC};
-use crate::call::abort::{AbortCause, FailoverObstacle, ResponseAbort};
+use crate::call::abort::{AbortCause, FailoverObstacle, ResponseAbort, abort_response};
 use crate::call::context::StepContext;
 use crate::call::holdings::ReservedSlot;
 use crate::call::io::{Effect, Effects};
@@ -154,8 +154,6 @@
     // Only a revoked key ends a call whose worker is not broken.
     let cause = stream.and_then(|stream| stream.broken_by).unwrap_or(AbortCause::KeyRevoked);
     let idle_time = stream.map_or(0, |stream| context.now.saturating_sub(stream.last_received_at));
-    context.shared.aborts.add(cause);
-    context.shared.counters.streams_aborted.increment();
-    effects.push(Effect::AbortResponse(ResponseAbort { cause, obstacle, idle_time }));
+    abort_response(ResponseAbort { cause, obstacle, idle_time }, context, effects);
     ControlFlow::Continue(CallState::Finished)
 }
--- a/crates/core/src/call/steps/streaming.rs
+++ b/crates/core/src/call/steps/streaming.rs
@@ -2,7 +2,7 @@
 
 use super::failover::{make_resume_attempt, resume_elsewhere, resume_obstacle};
 use super::suspension::{close_suspended, restore_after_failure, suspend};
-use crate::call::abort::{AbortCause, FailoverObstacle, ResponseAbort};
+use crate::call::abort::{AbortCause, FailoverObstacle, ResponseAbort, abort_response};
 use crate::call::context::StepContext;
 use crate::call::io::{Effect, Effects, Event};
 use crate::call::progress::StepResult;
@@ -129,11 +129,9 @@
 ) -> StepResult<CallState> {
     close_suspended(&mut call.state.granted, context, effects);
     release_slot(&call.state.slot, context, effects);
-    context.shared.aborts.add(cause);
-    context.shared.counters.streams_aborted.increment();
     effects.push(Effect::CloseConnection);
     let idle_time = context.now.saturating_sub(call.state.stream.last_received_at);
     let obstacle = FailoverObstacle::Forbidden;
-    effects.push(Effect::AbortResponse(ResponseAbort { cause, obstacle, idle_time }));
+    abort_response(ResponseAbort { cause, obstacle, idle_time }, context, effects);
     ControlFlow::Continue(CallState::Finished)
 }
--- a/crates/testbed/src/sim/checks/summary.rs
+++ b/crates/testbed/src/sim/checks/summary.rs
@@ -168,6 +168,17 @@
 }
 
 impl Summary {
+    /// Asserts that the run broke no rule. `name` says which run it was, and `seed` with which seed.
+    ///
+    /// # Panics
+    ///
+    /// The run broke a rule. The message holds the trace and the violations.
+    #[track_caller]
+    pub fn assert_no_violation(&self, name: &str, seed: u64) {
+        let trace = self.trace.join("\n");
+        assert!(self.violations.is_empty(), "{name} seed {seed}:\n{trace}\n{:#?}", self.violations);
+    }
+
     /// Summarizes the world, the operators and the membership faults of a run.
     pub(in crate::sim) fn of(
         world: World,
--- a/crates/testbed/tests/repairs.rs
+++ b/crates/testbed/tests/repairs.rs
@@ -10,12 +10,7 @@
     let profile = Profile::named(name).expect("a profile");
     for seed in seeds {
         let summary = run(Run::new(seed, profile));
-        assert!(
-            summary.violations.is_empty(),
-            "{name} seed {seed}:\n{}\n{:#?}",
-            summary.trace.join("\n"),
-            summary.violations
-        );
+        summary.assert_no_violation(name, seed);
         assert!(
             summary.voters_ready_after.len() > 10,
             "{name} seed {seed}: only {} losses",
--- a/crates/testbed/tests/sim.rs
+++ b/crates/testbed/tests/sim.rs
@@ -55,12 +55,7 @@
     let profile = Profile::named(name).expect("a profile");
     for seed in seeds {
         let summary = run(Run { rates: true, ..Run::new(seed, profile) });
-        assert!(
-            summary.violations.is_empty(),
-            "{name} seed {seed}:\n{}\n{:#?}",
-            summary.trace.join("\n"),
-            summary.violations
-        );
+        summary.assert_no_violation(name, seed);
         assert!(
             summary.committed > 0 && summary.executed_calls > 0 && is_expected(&summary),
             "{name} seed {seed}: {:?} needless {}",
@@ -204,13 +199,7 @@
 fn whole_days_end_with_a_last_fault_and_all_fronts_serve_again() {
     for (day, seed) in [(Day::MTATSMINDA, 1), (Day::MTATSMINDA, 2), (Day::DERWENT, 1), (Day::DERWENT, 2)] {
         let summary = run(Run::day(seed, day));
-        assert!(
-            summary.violations.is_empty(),
-            "{} seed {seed}:\n{}\n{:#?}",
-            day.name,
-            summary.trace.join("\n"),
-            summary.violations
-        );
+        summary.assert_no_violation(day.name, seed);
         assert!(summary.ends["whole"] * 10 > summary.calls * 8, "{} seed {seed}: {:?}", day.name, summary.ends);
     }
 }
@@ -491,7 +480,7 @@
     let profile = Profile::named("control_cut_off").expect("a profile");
     for seed in 1..7 {
         let summary = run(Run::new(seed, profile));
-        assert!(summary.violations.is_empty(), "seed {seed}:\n{}\n{:#?}", summary.trace.join("\n"), summary.violations);
+        summary.assert_no_violation("control_cut_off", seed);
         assert!(
             summary.committed > 0 && summary.executed_calls > 0,
             "seed {seed}: no change was committed or no call ran"
@@ -520,12 +509,7 @@
     let profile = Profile::named(name).expect("a profile");
     for seed in seeds {
         let summary = run(Run::new(seed, profile));
-        assert!(
-            summary.violations.is_empty(),
-            "{name} seed {seed}:\n{}\n{:#?}",
-            summary.trace.join("\n"),
-            summary.violations
-        );
+        summary.assert_no_violation(name, seed);
         let control = summary.control.expect("a profile of the control plane");
         assert!(control.committed > 30 && control.reads > 10, "{name} seed {seed}: {control:?}");
         seen.extend(control.variant_counts.into_keys().map(str::to_owned));
@@ -584,12 +568,7 @@
         let profile = Profile::named(name).expect("a profile");
         for seed in 3..9 {
             let summary = run(Run::new(seed, profile));
-            assert!(
-                summary.violations.is_empty(),
-                "{name} seed {seed}:\n{}\n{:#?}",
-                summary.trace.join("\n"),
-                summary.violations
-            );
+            summary.assert_no_violation(name, seed);
             rejected += summary.rejected_writes;
             started += summary.trace.iter().filter(|line| line.contains("finds its disk full")).count();
         }
