Send known removals of workers to nodes that join or return

Callers saw: requests at a worker that had drained or left (DRAIN), from the fronts of one zone, where these had been replaced or cut off since. Cause: a removal was sent to the nodes that were live when it was made, and forgotten by the cores as soon as these knew it. A node gets workers from the home nodes of its own zone only. Where both home nodes joined later, or were cut off with their zone while the removal was made, nobody told them: a late report (or, after a cut, the worker's last report of before) kept or put the worker in service there. Change: each core sends every removal that it still knows (30 s) to each node that becomes live (removal_catch_up.rs). The live core with the lowest id does so at once, the others after 300 ms if it has not; a node's confirmation ends it as before. What an earlier incarnation of the node confirmed no longer counts. Test: a_late_report_revives_no_removed_worker_whatever_starts_or_returns plays nine troubles after an acknowledged drain or removal, reported to a core and to a front, each with two rounds of late reports to all machines.

--- a/crates/core/src/node/dispatch.rs
+++ b/crates/core/src/node/dispatch.rs
@@ -95,6 +95,7 @@
         self.tick_contact_probe(now);
         self.tick_subscribe(now);
         self.tick_core_contact(now);
+        self.tick_removal_catch_up(now);
         self.tick_removals(now);
         self.tick_peer_clocks(now);
         self.tick_push(now);
--- a/crates/core/src/node/dissemination/mod.rs
+++ b/crates/core/src/node/dissemination/mod.rs
@@ -8,6 +8,7 @@
 //! - [`gossip`]: heartbeats and records of nodes;
 //! - [`reports`] and [`updates`]: reports of workers, passed on to the nodes that subscribe to them;
 //! - [`removals`]: workers that drain or leave, acknowledged once a majority of the voters has the removal on disk;
+//! - [`removal_catch_up`]: the same removals for nodes that join or return later;
 //! - [`contact`] and [`reachability`]: whether this node exchanges messages with a majority of the voters;
 //! - [`peer_clocks`]: bounds on the clocks of peers, so that no report is taken for younger than it is;
 //! - [`peer_incarnations`]: restarted peers, whose old connections are dead.
@@ -18,6 +19,7 @@
 mod peer_clocks;
 mod peer_incarnations;
 mod reachability;
+mod removal_catch_up;
 mod removals;
 mod reports;
 mod updates;
@@ -50,6 +52,8 @@
     pub(in crate::node) peer_clocks: peer_clocks::PeerClocks,
     /// The newest incarnation of each peer that sent a frame.
     pub(in crate::node) peer_incarnations: peer_incarnations::PeerIncarnations,
+    /// The nodes that need not be sent earlier removals.
+    pub(in crate::node) removal_catch_up: removal_catch_up::RemovalCatchUp,
 }
 
 impl Dissemination {
@@ -69,6 +73,7 @@
             frame_delays: frame_delay::FrameDelays::default(),
             peer_clocks: peer_clocks::PeerClocks::default(),
             peer_incarnations: peer_incarnations::PeerIncarnations::default(),
+            removal_catch_up: removal_catch_up::RemovalCatchUp::default(),
         }
     }
 
--- a/crates/core/src/node/dissemination/removals.rs
+++ b/crates/core/src/node/dissemination/removals.rs
@@ -210,7 +210,7 @@
     }
 
     /// Counts this core among the nodes that know a removal, once the removal is on its disk.
-    fn count_own_removal(&mut self, key: RemovalKey, now: Micros) {
+    pub(super) fn count_own_removal(&mut self, key: RemovalKey, now: Micros) {
         if !self.settings.is_core {
             return;
         }
--- a/crates/core/src/node/state_digest.rs
+++ b/crates/core/src/node/state_digest.rs
@@ -86,6 +86,7 @@
                 self.consensus.freshness.last_probe,
                 self.dissemination.heartbeat,
                 &self.dissemination.pending_acks,
+                &self.dissemination.removal_catch_up,
             ));
         }
         input.digest()
--- a/crates/core/tests/removals.rs
+++ b/crates/core/tests/removals.rs
@@ -169,3 +169,119 @@
     }
     assert_eq!(started(&net), before);
 }
+
+/// What happens after an acknowledged removal, until all machines have been in contact for a moment.
+type Trouble = fn(&mut Net);
+
+/// Guards against an acknowledged removal that is forgotten by nodes that start, return or lose a disk after it: late
+/// reports of the worker return it to service.
+#[test]
+fn a_late_report_revives_no_removed_worker_whatever_starts_or_returns() {
+    let troubles: [(&str, Trouble, Trouble); 9] = [
+        ("nothing", |_| {}, |_| {}),
+        ("the cores restart", |_| {}, |net| net.kill_and_restart(0..CORES)),
+        (
+            "the cores restart, and again while they start",
+            |_| {},
+            |net| {
+                net.kill_and_restart(0..CORES);
+                net.run(100 * MS);
+                net.kill_and_restart(0..CORES);
+            },
+        ),
+        (
+            "all restart, and a core has lost its disk",
+            |_| {},
+            |net| {
+                net.kill_and_restart_all();
+                net.replace(0, 90);
+            },
+        ),
+        (
+            "the cores restart later, and a core has lost its disk",
+            |_| {},
+            |net| {
+                net.run(11 * SEC);
+                net.kill_and_restart(0..CORES);
+                net.replace(2, 90);
+            },
+        ),
+        (
+            "new fronts replace those of a zone",
+            |_| {},
+            |net| {
+                net.run(SEC);
+                net.replace(4, 91);
+                net.replace(7, 92);
+            },
+        ),
+        (
+            "the fronts restart, and the cores once they know each other",
+            |_| {},
+            |net| {
+                net.run(SEC);
+                net.kill_and_restart(CORES..MACHINES);
+                net.run(SEC);
+                net.kill_and_restart(0..CORES);
+            },
+        ),
+        (
+            "a zone was cut off",
+            |net| {
+                net.cut_off.extend([2, 5, 8]);
+                net.run(6 * SEC);
+            },
+            |net| {
+                net.run(3 * SEC);
+                net.cut_off.clear();
+            },
+        ),
+        (
+            "a core was cut off",
+            |net| {
+                net.cut_off.push(2);
+                net.run(6 * SEC);
+            },
+            |net| {
+                net.run(11 * SEC);
+                net.cut_off.clear();
+            },
+        ),
+    ];
+    let mut failures = Vec::new();
+    for (name, before, after) in troubles {
+        for removal in [drain("a", 9), leave("a", 9), WorkerReport::removal("a", 1)] {
+            for reported_to in [0, CORES] {
+                let mut net = Net::new();
+                net.report(0, 1, unnumbered("a", 7));
+                net.run(500 * MS);
+                before(&mut net);
+                net.report(0, 2, unnumbered("a", 8));
+                net.run(500 * MS);
+                let kind = if removal.draining { "drain" } else { "removal" };
+                let case = format!("{name}, {kind} {} to {reported_to}", removal.seq);
+                if !net.report_and_wait(reported_to, 3, removal.clone()) {
+                    failures.push(format!("{case}: not acknowledged"));
+                }
+                after(&mut net);
+                // Late reports, the older ones last.
+                for (seq, machines) in [(6, 0..MACHINES), (5, 0..MACHINES)] {
+                    for machine in machines {
+                        net.report(machine, 1_000 + net.now, unnumbered("a", seq));
+                        net.run(150 * MS);
+                    }
+                }
+                net.run(300 * MS);
+                for _ in 0..20 {
+                    let revived = net.running_fronts_using("a");
+                    if !revived.is_empty() {
+                        failures.push(format!("{case}: in service at {revived:?}"));
+                        break;
+                    }
+                    net.run(100 * MS);
+                }
+            }
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
