Confirm a removal only where it is in force

Callers saw: requests at a worker whose drain or removal was acknowledged (DRAIN). Cause: a node confirmed every removal that it was sent, also one that it ignored because it knew a later incarnation of the worker or a newer report. The asked node counted these confirmations; with a majority of them it acknowledged a removal without effect. A node gets there if it missed the later incarnation (500 ms without frames suffice). Change: a node confirms the removals that are in force at it, and sends the sender the newer report of the others. The request is rejected, and the worker's next call carries or is given the later incarnation. Test: no_removal_is_acknowledged_by_nodes_that_know_a_later_incarnation; before: acknowledged, and still in service at all fronts.

--- a/crates/core/src/node/dissemination/removals.rs
+++ b/crates/core/src/node/dissemination/removals.rs
@@ -226,18 +226,41 @@
         }
     }
 
-    /// Applies the removals from a node, and acknowledges them once they are on this core's disk. `delay` is the
-    /// transit time of the frame beyond that of the fastest frame from the same sender, in microseconds.
+    /// Applies the removals from a node, and acknowledges those in force once they are on this core's disk. The sender
+    /// of an outdated one is sent the newer report of the worker instead. `delay` is the transit time of the frame
+    /// beyond that of the fastest frame from the same sender, in microseconds.
     pub(in crate::node) fn on_removals(&mut self, from: NodeId, reports: &[WorkerReport], delay: Micros, now: Micros) {
-        let mut keys: Vec<RemovalKey> = Vec::new();
         for report in reports {
             // A removal stays valid whatever its transit time.
             let made_at = now.saturating_sub(report.age.saturating_add(delay));
             self.apply_report(report, made_at, now);
-            keys.push(report.removal_key());
         }
-        let message = Message::Dissemination(DisseminationMessage::RemovalsReceived { keys });
-        self.send_after_sync(from, message, now);
+        let (in_force, outdated): (Vec<_>, Vec<_>) =
+            reports.iter().map(WorkerReport::removal_key).partition(|key| self.is_removal_in_force(key));
+        if !in_force.is_empty() {
+            let message = Message::Dissemination(DisseminationMessage::RemovalsReceived { keys: in_force });
+            self.send_after_sync(from, message, now);
+        }
+        self.send_newer_reports(from, &outdated, now);
+    }
+
+    /// Returns whether a worker is out of service by this removal or by a later one.
+    fn is_removal_in_force(&self, key: &RemovalKey) -> bool {
+        let known = self.dissemination.workers.entries.get(&key.worker_id);
+        known.is_some_and(|entry| entry.report.is_out_of_service() && entry.report.removal_key() >= *key)
+    }
+
+    /// Sends a node the newest reports of the workers whose removals are outdated.
+    fn send_newer_reports(&mut self, to: NodeId, outdated: &[RemovalKey], now: Micros) {
+        let entries = &self.dissemination.workers.entries;
+        let reports: Vec<_> = outdated
+            .iter()
+            .filter_map(|key| entries.get(&key.worker_id))
+            .map(|entry| WorkerReport { age: now.saturating_sub(entry.reported_at), ..entry.report.clone() })
+            .collect();
+        if !reports.is_empty() {
+            self.send(to, Message::Dissemination(DisseminationMessage::Reports { reports }), now);
+        }
     }
 
     /// Records a node's acknowledgement of removals.
--- a/crates/core/tests/removals.rs
+++ b/crates/core/tests/removals.rs
@@ -285,3 +285,21 @@
     }
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+/// Guards against an acknowledgement that counts nodes at which the removal had no effect: they know a later incarnation
+/// of the worker.
+#[test]
+fn no_removal_is_acknowledged_by_nodes_that_know_a_later_incarnation() {
+    let mut net = Net::new();
+    net.report(0, 1, report("a", 7));
+    net.run(500 * MS);
+    net.cut_off.push(CORES);
+    net.report(0, 2, WorkerReport { incarnation: 2, ..report("a", 1) });
+    net.run(500 * MS);
+    net.cut_off.clear();
+    let is_accepted = net.report_and_wait(CORES, 3, drain("a", 8));
+    assert!(!is_accepted || net.running_fronts_using("a").is_empty(), "acknowledged, and still in service");
+    assert!(net.answer(3).is_some_and(|answer| answer.1 < net.now + MS), "answered in time");
+    net.run(500 * MS);
+    assert_eq!(net.fronts_using("a").len(), MACHINES - CORES, "the later incarnation serves");
+}
