Reject a drain that is older than the worker's return to service

Callers saw: an acknowledgement for a drain of a worker that stays in service (DRAIN, by a late message). Cause: a drain with a lower number than a known report in service was acknowledged as soon as a majority was in contact. Change: it is answered with "report elsewhere"; what counts is the newer report. Test: a_drain_older_than_a_return_to_service_is_not_acknowledged, at two cores and a front; before: acknowledged by the first.

--- a/crates/core/src/node/dissemination/removals.rs
+++ b/crates/core/src/node/dissemination/removals.rs
@@ -52,11 +52,15 @@
             .get(&report.worker_id)
             .filter(|entry| entry.report.is_out_of_service())
             .map(|entry| (entry.report.removal_key(), entry.known_by_all));
-        // If the worker is in service, this report is older than one that the worker made to another node.
-        let Some((key, false)) = known else {
+        let (key, known_by_all) = match known {
+            Some(known) => known,
+            // The worker is in service by a newer report, so an acknowledgement would promise too much.
+            None => return self.acknowledge_report(request_id, false),
+        };
+        if known_by_all {
             self.acknowledge_when_reachable(request_id, now);
             return;
-        };
+        }
         if let Some(removal) = self.dissemination.workers.removals.start(&key, now, now) {
             removal.waiting_requests.push(WaitingRequest { request_id, received_at: now });
         }
--- a/crates/core/tests/removals.rs
+++ b/crates/core/tests/removals.rs
@@ -303,3 +303,15 @@
     net.run(500 * MS);
     assert_eq!(net.fronts_using("a").len(), MACHINES - CORES, "the later incarnation serves");
 }
+
+/// Guards against the acknowledgement of a drain that is older than the worker's return to service.
+#[test]
+fn a_drain_older_than_a_return_to_service_is_not_acknowledged() {
+    let mut net = Net::new();
+    net.report(0, 1, report("a", 9));
+    net.run(500 * MS);
+    for (request_id, machine) in [(2, 0), (3, 1), (4, CORES)] {
+        assert!(!net.report_and_wait(machine, request_id, drain("a", 8)), "acknowledged by {machine}");
+    }
+    assert_eq!(net.fronts_using("a").len(), MACHINES - CORES);
+}
