Answer the request of a drain that a return to service supersedes

Callers saw: no answer to a drain, until they gave it up. Cause: a newer report in service dropped the removal in progress together with the requests that waited for it. Change: these are rejected at once. Test: a_drain_that_waits_is_rejected_once_the_worker_returns_to_service; before: no answer. Measured: the tests of removals and reports pass with it.

--- a/crates/core/src/node/dissemination/removals.rs
+++ b/crates/core/src/node/dissemination/removals.rs
@@ -87,7 +87,7 @@
         }
     }
 
-    fn acknowledge_report(&mut self, request_id: u64, is_accepted: bool) {
+    pub(super) fn acknowledge_report(&mut self, request_id: u64, is_accepted: bool) {
         self.counters.reports_unacknowledged += u64::from(!is_accepted);
         self.emit(Effect::AcknowledgeReport { request_id, is_accepted });
     }
@@ -282,7 +282,7 @@
         let workers = &mut self.dissemination.workers;
         for key in keys {
             if workers.removals.get(key).is_some_and(|removal| removal.waiting_requests.is_empty()) {
-                workers.removals.remove(&key.worker_id);
+                workers.removals.take(&key.worker_id);
             }
             let is_removal = |report: &WorkerReport| report.is_out_of_service() && report.removal_key() == *key;
             if let Some(entry) = workers.entries.get_mut(&key.worker_id).filter(|entry| is_removal(&entry.report)) {
--- a/crates/core/src/node/dissemination/reports.rs
+++ b/crates/core/src/node/dissemination/reports.rs
@@ -61,7 +61,7 @@
             workers.next_push_at = now;
         }
         if !report.is_out_of_service() {
-            workers.removals.remove(&report.worker_id);
+            self.end_superseded_removal(&report.worker_id);
         } else if self.settings.is_core && !is_known_removal {
             // Every core keeps a removal, in case the core that spreads the removal is lost.
             workers.removals.start(&report.removal_key(), now + REMOVAL_TAKEOVER_DELAY, now);
@@ -70,6 +70,14 @@
         true
     }
 
+    /// Stops to spread the removal of a worker that returned to service, and rejects the requests that wait for it.
+    fn end_superseded_removal(&mut self, worker_id: &str) {
+        let Some(removal) = self.dissemination.workers.removals.take(worker_id) else { return };
+        for request in removal.waiting_requests {
+            self.acknowledge_report(request.request_id, false);
+        }
+    }
+
     fn merge_report(&mut self, report: &WorkerReport, made_at: Micros, now: Micros) -> MergeOutcome {
         let outcome = self.dissemination.workers.merge_report(report, made_at, now);
         match outcome {
--- a/crates/core/src/workers/removals.rs
+++ b/crates/core/src/workers/removals.rs
@@ -82,9 +82,9 @@
         self.0.get_mut(&key.worker_id).filter(|removal| removal.key == *key)
     }
 
-    /// Stops disseminating any removal of a worker.
-    pub fn remove(&mut self, worker_id: &str) {
-        self.0.remove(worker_id);
+    /// Stops disseminating any removal of a worker, and returns it.
+    pub fn take(&mut self, worker_id: &str) -> Option<Removal> {
+        self.0.remove(worker_id)
     }
 
     /// Returns whether no removal is being disseminated.
--- a/crates/core/tests/removals.rs
+++ b/crates/core/tests/removals.rs
@@ -315,3 +315,16 @@
     }
     assert_eq!(net.fronts_using("a").len(), MACHINES - CORES);
 }
+
+/// Guards against a request that is never answered, as the worker returned to service while its drain was waiting.
+#[test]
+fn a_drain_that_waits_is_rejected_once_the_worker_returns_to_service() {
+    let mut net = Net::new();
+    net.report(0, 1, report("a", 7));
+    net.run(500 * MS);
+    net.stalled_disks = vec![1, 2];
+    net.report(0, 2, drain("a", 8));
+    net.run(100 * MS);
+    net.report(0, 3, report("a", 9));
+    assert_eq!(net.answer(2), Some((false, net.now)), "rejected at once");
+}
