--- a/crates/core/src/node/dissemination/removals.rs
+++ b/crates/core/src/node/dissemination/removals.rs
@@ -52,10 +52,10 @@
             .get(&report.worker_id)
             .filter(|entry| entry.report.is_out_of_service())
             .map(|entry| (entry.report.removal_key(), entry.known_by_all));
-        let (key, known_by_all) = match known {
-            Some(known) => known,
+        let Some((key, known_by_all)) = known else {
             // The worker is in service by a newer report, so an acknowledgement would promise too much.
-            None => return self.acknowledge_report(request_id, false),
+            self.acknowledge_report(request_id, false);
+            return;
         };
         if known_by_all {
             self.acknowledge_when_reachable(request_id, now);
