Keep the connection to a worker that leaves a long request body unread

Cause: TCP_USER_TIMEOUT of 2 s, by which an unreachable worker is given up, also counts bytes that the kernel may not send because the receive window of the worker is closed. While all that was sent is acknowledged, more waits, and the worker answers the probes of its closed window, the limit is lifted; then it is 2 s again. The time-outs of the call bound the wait. Test: a_worker_may_leave_a_long_body_unread, with the head of the response before the pause of 4 s and after it; before: the connection was lost after 2.3 s with the head sent before the pause (the test ends there). Not measured: a worker that becomes unreachable with its window closed, as nothing here can take a loopback peer away; by the kernel's rules it is given up after its second unanswered probe.

--- a/crates/node/src/upstream/connection.rs
+++ b/crates/node/src/upstream/connection.rs
@@ -6,12 +6,13 @@
 use super::pool::UpstreamPool;
 use super::socket::{self, Sender, SocketMonitor};
 use super::target::Target;
+use super::unread_body::UnreadBodyWatch;
 use crate::net;
 use bytes::Bytes;
 use displaydoc::Display;
 use futures::FutureExt;
 use http_body_util::Full;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::Builder;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -46,6 +47,8 @@
     sender: Sender,
     monitor: Arc<SocketMonitor>,
     hints: KeepAliveHints,
+    /// Runs while the worker may leave a long request body unread.
+    _unread_body: Option<UnreadBodyWatch>,
 }
 
 /// What a request requires of its connection.
@@ -190,10 +193,13 @@
             self.state.monitor.expect_request();
         }
         let Connected { mut sender, monitor, .. } = self.state;
+        let body_bytes = usize::try_from(request.body().size_hint().lower()).unwrap_or(usize::MAX);
+        let unread_body = UnreadBodyWatch::start(&monitor, body_bytes);
         match sender.try_send_request(request).await {
             Ok(response) => {
                 let hints = KeepAliveHints::from_headers(response.version(), response.headers());
-                Ok((response, UpstreamConnection { target: self.target, state: Responding { sender, monitor, hints } }))
+                let state = Responding { sender, monitor, hints, _unread_body: unread_body };
+                Ok((response, UpstreamConnection { target: self.target, state }))
             }
             Err(mut error) => {
                 let was_not_written = error.take_message().is_some() || monitor.is_withheld();
--- a/crates/node/src/upstream/mod.rs
+++ b/crates/node/src/upstream/mod.rs
@@ -7,6 +7,7 @@
 mod pool;
 mod socket;
 mod target;
+mod unread_body;
 
 pub use connection::{
     ConnectError, Connected, ConnectionRequirements, Responding, SendError, Unconnected, UpstreamConnection,
--- a/crates/node/src/upstream/socket.rs
+++ b/crates/node/src/upstream/socket.rs
@@ -10,6 +10,7 @@
 use std::os::fd::{AsRawFd, RawFd};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 use tokio::net::TcpStream;
 
 /// Sends requests to the task of a connection.
@@ -45,6 +46,19 @@
         self.descriptor().is_some_and(net::is_reusable)
     }
 
+    /// Returns whether bytes wait because the worker reads none, although it is reachable; `None` once the socket is
+    /// closed.
+    pub fn is_window_closed(&self) -> Option<bool> {
+        self.descriptor().map(net::is_window_closed)
+    }
+
+    /// Sets how long sent bytes may stay unacknowledged, if the socket is open; `None` for no limit.
+    pub fn set_user_timeout(&self, user_timeout: Option<Duration>) {
+        if let Some(descriptor) = *self.descriptor() {
+            net::set_user_timeout(descriptor, user_timeout);
+        }
+    }
+
     /// Marks that a request follows on a reused connection.
     pub fn expect_request(&self) {
         self.is_request_pending.store(true, Ordering::Release);
