--- a/crates/testbed/src/sim/faults/control/mod.rs
+++ b/crates/testbed/src/sim/faults/control/mod.rs
@@ -17,7 +17,7 @@
 use crate::sim::operators::orders::{DocumentOperator, PinnedTarget};
 use crate::sim::world::World;
 use checks::{check_caught_up, check_progress};
-use departures::{FIRST_REQUEST_ID, WorkerDeparture};
+use departures::{FIRST_REQUEST_ID, LateReport, WorkerDeparture};
 use losses::Loss;
 use std::collections::BTreeMap;
 use sumacvale_core::base::{Micros, SEC};
@@ -71,6 +71,8 @@
     pending_fault: Option<PendingFault>,
     /// The workers that wait for an acknowledgement of their departure.
     departures: Vec<WorkerDeparture>,
+    /// The reports of workers that left, which have not arrived yet.
+    late_reports: Vec<LateReport>,
     /// The request id of the report that was sent last for a leaving worker.
     last_request_id: u64,
     /// The number of workers whose departure was acknowledged.
@@ -98,6 +100,7 @@
             is_closing_started: false,
             pending_fault: None,
             departures: Vec::new(),
+            late_reports: Vec::new(),
             last_request_id: FIRST_REQUEST_ID,
             acknowledged_departures: 0,
             partition_counts: BTreeMap::new(),
