--- a/crates/testbed/src/fleet/scenario.rs
+++ b/crates/testbed/src/fleet/scenario.rs
@@ -272,7 +272,7 @@
         self.findings.extend(check_invariants(&records, &runs, self.revocation.as_ref()));
         self.findings.extend(check_retries(&counters));
         if with_faults {
-            self.findings.extend(check_graceful_stop(&records, &self.fleet.nodes[STOPPED_FRONT].front()));
+            self.findings.extend(check_graceful_stop(&records, &runs, &self.fleet.nodes[STOPPED_FRONT].front()));
         }
         self.findings.extend(check_completeness(&records));
         ScenarioOutcome {
@@ -298,11 +298,17 @@
 }
 
 /// Checks that a front which was stopped by SIGTERM responded to all calls that it received.
-fn check_graceful_stop(records: &[ClientRecord], front: &str) -> Vec<Finding> {
+fn check_graceful_stop(records: &[ClientRecord], runs: &[WorkerRun], front: &str) -> Vec<Finding> {
     let is_lost =
         |record: &&ClientRecord| record.front == front && matches!(record.observation, ClientObservation::NoResponse);
-    let finding =
-        |record: &ClientRecord| Finding(format!("{}: no response from a front that was stopping", record.call_id));
+    let finding = |record: &ClientRecord| {
+        let run_count = runs.iter().filter(|run| run.call_id == record.call_id).count();
+        let ended_after_ms = record.total.as_millis();
+        let call_id = &record.call_id;
+        Finding(format!(
+            "{call_id}: no response from a front that was stopping; ended after {ended_after_ms} ms, ran {run_count} times"
+        ))
+    };
     records.iter().filter(is_lost).map(finding).collect()
 }
 
