--- a/crates/core/src/node/quota/standby.rs
+++ b/crates/core/src/node/quota/standby.rs
@@ -71,7 +71,7 @@
     /// Returns the standby of a role: the live voter that ranks first, except for the lease holder.
     pub(super) fn standby_of(&self, role: u32, holder: NodeId, now: Micros) -> Option<NodeId> {
         let peers = &self.dissemination.peers;
-        let is_live = |voter: NodeId| voter == self.settings.node_id || peers.is_live(voter, now);
+        let is_live = |voter: NodeId| voter == self.settings.node_id || peers.is_alive(voter, now);
         self.ranked_voters(role).into_iter().find(|voter| *voter != holder && is_live(*voter))
     }
 
--- a/crates/core/src/peers.rs
+++ b/crates/core/src/peers.rs
@@ -182,11 +182,6 @@
         self.entries.values().filter(move |entry| entry.is_alive(now)).map(|entry| &entry.record)
     }
 
-    /// Returns true if a node is known and neither failed nor draining.
-    pub fn is_live(&self, node_id: NodeId, now: Micros) -> bool {
-        self.entries.get(&node_id).is_some_and(|entry| entry.is_alive(now))
-    }
-
     /// Returns the address at which a node listens.
     pub fn address(&self, node_id: NodeId) -> Option<&str> {
         self.entries.get(&node_id).map(|entry| entry.record.addr.as_str())
