--- a/crates/core/src/workers/mod.rs
+++ b/crates/core/src/workers/mod.rs
@@ -5,7 +5,9 @@
 //! node sends it requests. This module does no I/O.
 
 pub mod removals;
+mod subscriptions;
 mod table;
 
 pub use removals::{Removal, Removals, WaitingRequest};
-pub use table::{MergeOutcome, REPORT_TIMEOUT, Subscriber, UnreachablePeriod, Upstream, WorkerEntry, WorkerTable};
+pub use subscriptions::{Subscriber, Upstream};
+pub use table::{MergeOutcome, REPORT_TIMEOUT, UnreachablePeriod, WorkerEntry, WorkerTable};
