--- a/crates/core/tests/rates.rs
+++ b/crates/core/tests/rates.rs
@@ -1,5 +1,8 @@
 //! Tests of shares of a rate: the bucket of a node, the pool of a lease holder, and both together in a simulation.
 
+mod rate_excess;
+
+use rate_excess::largest_excess;
 use std::collections::{BTreeMap, VecDeque};
 use sumacvale_core::base::{MS, Micros, NodeId, Rng, SEC};
 use sumacvale_core::config::{CompiledConfig, QuotaLimit, Rate, effective_settings, validate};
@@ -318,19 +321,6 @@
     assert!(slices.rates.due_requests(|_| true, SEC).is_empty());
 }
 
-/// Returns the largest excess of the calls in any interval over the rate, in thousandths of calls.
-fn largest_excess(rate: Rate, times: &mut [Micros]) -> i128 {
-    times.sort_unstable();
-    let (mut lowest, mut largest) = (i128::MAX, 0);
-    for (index, time) in times.iter().enumerate() {
-        // In millionths of thousandths, so that nothing is lost to rounding.
-        let refilled = i128::from(rate.milli_per_second) * i128::from(*time);
-        lowest = lowest.min(index as i128 * 1_000_000_000 - refilled);
-        largest = largest.max((index as i128 + 1) * 1_000_000_000 - refilled - lowest);
-    }
-    largest / 1_000_000
-}
-
 /// Returns the allowed excess of an interval over the rate, in thousandths of calls: the burst, and the units lent just
 /// before the interval.
 fn allowed_excess(rate: Rate) -> i128 {
@@ -638,6 +628,13 @@
 }
 
 impl Simulation {
+    /// Returns the times of all calls that ran, sorted.
+    fn sorted_runs(&self) -> Vec<Micros> {
+        let mut times = self.ran.clone();
+        times.sort_unstable();
+        times
+    }
+
     /// Simulates a power loss of the lease holder and most fronts; other fronts are partitioned and keep spending
     /// units.
     fn lose_power(&mut self) {
@@ -719,7 +716,7 @@
         }
     }
     let ran = simulation.ran.len();
-    (largest_excess(rate, &mut simulation.ran) <= allowed_excess(rate), ran)
+    (largest_excess(rate, &simulation.sorted_runs()) <= allowed_excess(rate), ran)
 }
 
 #[test]
@@ -977,7 +974,7 @@
             }
         }
         ran += simulation.ran.len();
-        let excess = largest_excess(rate, &mut simulation.ran);
+        let excess = largest_excess(rate, &simulation.sorted_runs());
         assert!(excess <= allowed_excess(rate), "seed {seed}: {excess} of {rate:?}");
     }
     assert!(ran > 30_000, "{ran} calls ran");
@@ -1004,7 +1001,7 @@
             }
             calls += simulation.ran.iter().filter(|at| **at > begin).count();
             rejected += simulation.rejected.iter().filter(|at| **at > begin).count();
-            assert!(largest_excess(rate, &mut simulation.ran) <= allowed_excess(rate), "{name}");
+            assert!(largest_excess(rate, &simulation.sorted_runs()) <= allowed_excess(rate), "{name}");
         }
         println!("{name}: {rejected} of {}", calls + rejected);
         assert!(
--- a/crates/core/tests/recovery/main.rs
+++ b/crates/core/tests/recovery/main.rs
@@ -4,6 +4,8 @@
 mod net;
 #[path = "../nodes/mod.rs"]
 mod nodes;
+#[path = "../rate_excess/mod.rs"]
+mod rate_excess;
 mod standby;
 
 use load::{CallsAfterLoss, RejectionCause};
--- a/crates/core/tests/recovery/standby.rs
+++ b/crates/core/tests/recovery/standby.rs
@@ -2,24 +2,12 @@
 
 use crate::load::{CALL_INTERVAL, Calls};
 use crate::net::{ALL, CORES, Net, RATE, TENANTS};
+use crate::rate_excess::largest_excess;
 use std::collections::BTreeMap;
 use sumacvale_core::base::{MS, Micros, Rng, SEC};
-use sumacvale_core::config::Rate;
 use sumacvale_core::lease::quota_role;
 use sumacvale_core::quota::LOAN_DURATION;
 
-/// Returns the largest excess over the rate in any interval, in thousandths of calls; `times` are sorted.
-fn largest_excess(rate: Rate, times: &[Micros]) -> i128 {
-    let (mut lowest, mut largest) = (i128::MAX, 0);
-    for (index, time) in times.iter().enumerate() {
-        // In millionths of thousandths, to avoid rounding.
-        let refilled = i128::from(rate.milli_per_second) * i128::from(*time);
-        lowest = lowest.min(index as i128 * 1_000_000_000 - refilled);
-        largest = largest.max((index as i128 + 1) * 1_000_000_000 - refilled - lowest);
-    }
-    largest / 1_000_000
-}
-
 /// Returns the tenants that exceeded the limit in any interval, with their excess. The limit is the rate, the
 /// burst, and the units that were lent just before the interval.
 fn tenants_over_the_limit(served: &BTreeMap<String, Vec<Micros>>) -> Vec<(String, i128)> {
--- a/crates/core/tests/removals.rs
+++ b/crates/core/tests/removals.rs
@@ -170,14 +170,12 @@
     assert_eq!(started(&net), before);
 }
 
-/// What happens after an acknowledged removal, until all machines have been in contact for a moment.
+/// What happens to a fleet before or after an acknowledged removal.
 type Trouble = fn(&mut Net);
 
-/// Guards against an acknowledged removal that is forgotten by nodes that start, return or lose a disk after it: late
-/// reports of the worker return it to service.
-#[test]
-fn a_late_report_revives_no_removed_worker_whatever_starts_or_returns() {
-    let troubles: [(&str, Trouble, Trouble); 9] = [
+/// Troubles by name: what happens before a removal, and after its acknowledgement.
+fn troubles() -> [(&'static str, Trouble, Trouble); 9] {
+    [
         ("nothing", |_| {}, |_| {}),
         ("the cores restart", |_| {}, |net| net.kill_and_restart(0..CORES)),
         (
@@ -247,38 +245,52 @@
                 net.cut_off.clear();
             },
         ),
-    ];
+    ]
+}
+
+/// Plays one removal with a trouble and late reports. Returns the fronts that have the worker in service once all machines
+/// have been in contact for some seconds; `None` if the removal was not acknowledged.
+fn fronts_reviving(before: Trouble, after: Trouble, removal: &WorkerReport, reported_to: usize) -> Option<Vec<usize>> {
+    let mut net = Net::new();
+    net.report(0, 1, unnumbered("a", 7));
+    net.run(500 * MS);
+    before(&mut net);
+    net.report(0, 2, unnumbered("a", 8));
+    net.run(500 * MS);
+    if !net.report_and_wait(reported_to, 3, removal.clone()) {
+        return None;
+    }
+    after(&mut net);
+    // The older report arrives last.
+    for seq in [6, 5] {
+        for machine in 0..MACHINES {
+            net.report(machine, 1_000 + net.now, unnumbered("a", seq));
+            net.run(150 * MS);
+        }
+    }
+    net.run(300 * MS);
+    let mut reviving = Vec::new();
+    for _ in 0..20 {
+        reviving.extend(net.running_fronts_using("a"));
+        net.run(100 * MS);
+    }
+    reviving.sort_unstable();
+    reviving.dedup();
+    Some(reviving)
+}
+
+/// Guards against an acknowledged removal that is forgotten by nodes that start, return or lose a disk after it: late
+/// reports of the worker return it to service.
+#[test]
+fn a_late_report_revives_no_removed_worker_whatever_starts_or_returns() {
     let mut failures = Vec::new();
-    for (name, before, after) in troubles {
+    for (name, before, after) in troubles() {
         for removal in [drain("a", 9), leave("a", 9), WorkerReport::removal("a", 1)] {
             for reported_to in [0, CORES] {
-                let mut net = Net::new();
-                net.report(0, 1, unnumbered("a", 7));
-                net.run(500 * MS);
-                before(&mut net);
-                net.report(0, 2, unnumbered("a", 8));
-                net.run(500 * MS);
-                let kind = if removal.draining { "drain" } else { "removal" };
-                let case = format!("{name}, {kind} {} to {reported_to}", removal.seq);
-                if !net.report_and_wait(reported_to, 3, removal.clone()) {
-                    failures.push(format!("{case}: not acknowledged"));
-                }
-                after(&mut net);
-                // Late reports, the older ones last.
-                for (seq, machines) in [(6, 0..MACHINES), (5, 0..MACHINES)] {
-                    for machine in machines {
-                        net.report(machine, 1_000 + net.now, unnumbered("a", seq));
-                        net.run(150 * MS);
-                    }
-                }
-                net.run(300 * MS);
-                for _ in 0..20 {
-                    let revived = net.running_fronts_using("a");
-                    if !revived.is_empty() {
-                        failures.push(format!("{case}: in service at {revived:?}"));
-                        break;
-                    }
-                    net.run(100 * MS);
+                let reviving = fronts_reviving(before, after, &removal, reported_to);
+                if reviving != Some(Vec::new()) {
+                    let removed = removal.removed;
+                    failures.push(format!("{name}, removed {removed}, to {reported_to}: {reviving:?}"));
                 }
             }
         }
