Forward event numbers that rise by more than one

Callers saw: a stream that may be resumed cut at its second event, where the numbers of a sound worker rise with gaps (LOST). Cause: the splitter took each gap for a missing piece, also within one worker's connection, which loses nothing. The pages say that ids rise, not that they are consecutive. Change: within one worker's response, and after a client's own Last-Event-Id, any higher number is forwarded. Another worker that continues a stream must begin with the next number as before, unless the stream has shown gaps; numbers that do not rise are invalid as before. Tests: a_stream_whose_numbers_rise_with_gaps_is_forwarded_whole; before: aborted at the second event.

--- a/crates/core/src/call/abort.rs
+++ b/crates/core/src/call/abort.rs
@@ -12,7 +12,7 @@
 pub enum AbortCause {
     /// The API key was revoked, and the match or the tenant aborts responses then.
     KeyRevoked,
-    /// An event is too large, or the numbers of a resumable stream are not consecutive.
+    /// An event is too large, or a resumable stream has an event whose number is not expected.
     InvalidEvents,
     /// The worker's response ended early.
     WorkerBrokeOff,
--- a/crates/core/src/stream/sse.rs
+++ b/crates/core/src/stream/sse.rs
@@ -2,8 +2,8 @@
 //! "Server-sent events".
 //!
 //! The client receives complete events only, so that a broken stream can be resumed at another worker
-//! exactly after the last forwarded event. This requires that the worker numbers its events without
-//! gaps in the `id` field.
+//! exactly after the last forwarded event. This requires that the workers number the events of a stream alike, with
+//! rising numbers in the `id` field.
 
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
@@ -19,11 +19,12 @@
 pub enum StreamError {
     /// an event exceeds 1 MiB; the worker must send smaller events
     EventTooLarge,
-    /// received event {received}, expected event {expected}; the worker must number its events without gaps
-    EventGap {
+    /// received event {received}, expected event {expected}; the numbers of a worker's events must rise, and
+    /// another worker must continue with the next event
+    UnexpectedEvent {
         /// The number of the received event.
         received: u64,
-        /// The number that would have followed without a gap.
+        /// The number after that of the last forwarded event.
         expected: u64,
     },
     /// received an event without a number on a resumed stream; the worker must number its events
@@ -73,6 +74,10 @@
     is_first: bool,
     /// The number of the last forwarded event.
     last_id: Option<u64>,
+    /// True if the numbers of the forwarded events have a gap.
+    has_gaps: bool,
+    /// True if the events up to `last_id` were forwarded from another worker's response.
+    is_continuation: bool,
     /// True if the match allows resuming the stream, so that event numbers are checked.
     is_resumable: bool,
     /// True if an event without a number was forwarded after `last_id`.
@@ -109,6 +114,8 @@
         *self = EventSplitter {
             is_resumable: self.is_resumable,
             last_id: self.last_id,
+            has_gaps: self.has_gaps,
+            is_continuation: true,
             is_resuming: true,
             is_first: true,
             ..EventSplitter::default()
@@ -124,7 +131,8 @@
     /// Adds bytes from the worker and returns the complete events to forward.
     ///
     /// # Errors
-    /// Fails if an event is too large, or if the stream is resumable and its numbers have a gap.
+    /// Fails if an event is too large, or if the stream is resumable and its numbers do not rise, or if another worker
+    /// does not continue with the next event.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Bytes>, StreamError> {
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
@@ -216,12 +224,19 @@
         if number < expected && self.is_resuming {
             return Ok(false);
         }
-        if number != expected {
-            return Err(StreamError::EventGap { received: number, expected });
+        let is_gap = number > expected;
+        if number < expected || (is_gap && self.must_continue_without_gap()) {
+            return Err(StreamError::UnexpectedEvent { received: number, expected });
         }
+        self.has_gaps |= is_gap;
         self.is_resuming = false;
         self.has_unnumbered = false;
         self.last_id = Some(number);
         Ok(true)
     }
+
+    /// Whether a gap before the next event would mean that an event was lost between two workers.
+    fn must_continue_without_gap(&self) -> bool {
+        self.is_continuation && self.is_resuming && !self.has_gaps
+    }
 }
--- a/crates/core/tests/call/streaming.rs
+++ b/crates/core/tests/call/streaming.rs
@@ -2,6 +2,18 @@
 
 use super::fixture::*;
 
+/// Guards against aborted responses of workers whose event numbers rise by more than one.
+#[test]
+fn a_stream_whose_numbers_rise_with_gaps_is_forwarded_whole() {
+    let script = after_send(vec![
+        (ok_head(true, true), "forward head"),
+        (chunk("id: 0\ndata: a\n\n"), "forward 15"),
+        (chunk("id: 7\ndata: b\n\n"), "forward 15"),
+        (Deliver(Event::ResponseEnd), "finish"),
+    ]);
+    check(vec![("rising with gaps", "/draft", 2, 4, 9, script, 8)]);
+}
+
 #[test]
 fn a_stream_is_finished_resumed_or_aborted() {
     let first_event = "id: 0\ndata: a\n\n";
