Forward an event of any size

Callers saw: a stream cut as soon as an event of it exceeded 1 MiB, while its worker was at work (LOST). Cause: events are buffered until they are complete, so that a broken stream can be resumed after its last whole one, and a buffer that was full aborted the answer. Change: from such an event on bytes are forwarded as they arrive, and the stream can't be resumed any more; its framing alone tells whether it is complete. An event of a resumed stream must still be buffered, as the client may have it: there the limit stands. Test: an_event_of_any_size_is_forwarded; before: aborted. an_event_that_is_too_large_to_buffer_is_forwarded_as_it_arrives checks every byte; the row that asked for the abort in one worker's stream asks for it in a resumed one.

--- a/crates/core/src/stream/sse.rs
+++ b/crates/core/src/stream/sse.rs
@@ -8,7 +8,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
 
-/// The maximum size of an event, in bytes.
+/// The maximum size of an event that is buffered until it is complete, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
 
 /// The UTF-8 byte order mark that may begin a stream.
@@ -17,7 +17,7 @@
 /// Why a stream is invalid and must be aborted.
 #[derive(Clone, Debug, PartialEq, Eq, Display, thiserror::Error)]
 pub enum StreamError {
-    /// an event exceeds 1 MiB; the worker must send smaller events
+    /// an event of a resumed stream exceeds 1 MiB; the worker must send smaller events
     EventTooLarge,
     /// received event {received}, expected event {expected}; the numbers of a worker's events must rise, and
     /// another worker must continue with the next event
@@ -74,6 +74,8 @@
     is_first: bool,
     /// The number of the last forwarded event.
     last_id: Option<u64>,
+    /// True once an event was too large to buffer: the rest of the stream is forwarded as it arrives.
+    is_unsplit: bool,
     /// True if the numbers of the forwarded events have a gap.
     has_gaps: bool,
     /// True if the events up to `last_id` were forwarded from another worker's response.
@@ -106,7 +108,7 @@
     /// `Some(None)` is the beginning of the stream; `None` means that the stream can't be resumed.
     #[must_use]
     pub fn resume_point(&self) -> Option<Option<u64>> {
-        (self.is_resumable && !self.has_unnumbered).then_some(self.last_id)
+        (self.is_resumable && !self.has_unnumbered && !self.is_unsplit).then_some(self.last_id)
     }
 
     /// Prepares for a connection to another worker, and drops the incomplete event of the old connection.
@@ -128,12 +130,16 @@
         self.buffer.is_empty()
     }
 
-    /// Adds bytes from the worker and returns the complete events to forward.
+    /// Adds bytes from the worker and returns the complete events to forward. From an event on that is too large to
+    /// buffer, returns all bytes as they arrive.
     ///
     /// # Errors
-    /// Fails if an event is too large, or if the stream is resumable and its numbers do not rise, or if another worker
+    /// Fails if an event of a resumed stream is too large to tell whether the client has it, or if the stream is resumable and its numbers do not rise, or if another worker
     /// does not continue with the next event.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<Bytes>, StreamError> {
+        if self.is_unsplit {
+            return Ok(vec![Bytes::copy_from_slice(bytes)]);
+        }
         self.buffer.extend_from_slice(bytes);
         let mut events = Vec::new();
         while let Some(byte) = self.buffer.get(self.scanned).copied() {
@@ -152,7 +158,19 @@
                 self.finish_event(&mut events)?;
             }
         }
-        if self.buffer.len() > MAX_EVENT_BYTES { Err(StreamError::EventTooLarge) } else { Ok(events) }
+        if self.buffer.len() > MAX_EVENT_BYTES {
+            events.push(self.stop_splitting()?);
+        }
+        Ok(events)
+    }
+
+    /// Forwards the incomplete event as far as it was received, and all bytes after it.
+    fn stop_splitting(&mut self) -> Result<Bytes, StreamError> {
+        if self.is_resuming {
+            return Err(StreamError::EventTooLarge);
+        }
+        self.is_unsplit = true;
+        Ok(self.buffer.split().freeze())
     }
 
     /// Handles an LF after a CR. If the CR completed an event, the LF is forwarded or dropped like the
--- a/crates/core/tests/call/streaming.rs
+++ b/crates/core/tests/call/streaming.rs
@@ -14,6 +14,19 @@
     check(vec![("rising with gaps", "/draft", 2, 4, 9, script, 8)]);
 }
 
+/// Guards against aborted responses of workers that send large events.
+#[test]
+fn an_event_of_any_size_is_forwarded() {
+    let script = after_send(vec![
+        (ok_head(true, true), "forward head"),
+        (chunk("id: 0\ndata: a\n\n"), "forward 15"),
+        (chunk(&"x".repeat(2_000_000)), "forward 2000000"),
+        (chunk("\n\n"), "forward 2"),
+        (Deliver(Event::ResponseEnd), "finish"),
+    ]);
+    check(vec![("of two megabytes", "/draft", 2, 4, 9, script, 8)]);
+}
+
 #[test]
 fn a_stream_is_finished_resumed_or_aborted() {
     let first_event = "id: 0\ndata: a\n\n";
--- a/crates/core/tests/stream.rs
+++ b/crates/core/tests/stream.rs
@@ -133,6 +133,32 @@
     }
 }
 
+/// Guards against aborted responses of workers that send large events.
+#[test]
+fn an_event_that_is_too_large_to_buffer_is_forwarded_as_it_arrives() {
+    let first_event = b"id: 0\ndata: a\n\n".to_vec();
+    let large_event = [b"id: 1\ndata: ", &vec![b'x'; 3 << 20][..], b"\n\n"].concat();
+    for is_resumable in [false, true] {
+        let mut splitter = EventSplitter::new(is_resumable, None);
+        let mut output = splitter.push(&first_event).expect("valid").concat();
+        for bytes in large_event.chunks(100_000) {
+            output.extend(splitter.push(bytes).expect("forwarded").concat());
+        }
+        output.extend(splitter.push(b"id: 2\ndata: c\n\n").expect("forwarded").concat());
+        assert!(output == [&first_event, &large_event[..], b"id: 2\ndata: c\n\n"].concat(), "every byte, in order");
+        assert!(splitter.is_between_events(), "the framing alone tells whether the end is complete");
+        assert_eq!(splitter.resume_point(), None, "it is not known which events the client has whole");
+    }
+}
+
+#[test]
+fn an_event_of_a_resumed_stream_is_not_forwarded_before_its_number_is_known() {
+    let mut splitter = EventSplitter::new(true, None);
+    splitter.push(b"id: 0\ndata: a\n\n").expect("valid");
+    splitter.resume();
+    assert_eq!(splitter.push(&vec![b'x'; 2 << 20]), Err(StreamError::EventTooLarge));
+}
+
 /// Guards against events that are lost between two workers.
 #[test]
 fn another_worker_may_leave_a_gap_only_if_the_stream_had_one() {
