--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -271,6 +271,36 @@
     assert!(std::mem::size_of::<EntryDigest>() * MAX_DIGESTS <= 2 << 20);
 }
 
+/// The number of workers that the fleet is designed for.
+const WORKERS: usize = 12_000;
+
+/// Guards against a data folder that grows with every worker that has ever left.
+#[test]
+fn removals_that_are_forgotten_make_room_for_later_ones() {
+    let folder = TemporaryFolder::new("removals");
+    let (mut database, ..) = Database::open(&folder.0, NodeId(1)).expect("a new folder");
+    let worker_ids = |round: usize| (0..WORKERS).map(move |n| format!("i-{round:02}{n:06x}")).collect::<Vec<_>>();
+    let mut round_bytes = Vec::new();
+    for round in 0..5 {
+        let removals: Vec<_> =
+            worker_ids(round).iter().map(|id| DurableWrite::Removal(WorkerReport::removal(id, 1))).collect();
+        let started_at = std::time::Instant::now();
+        removals.iter().for_each(|removal| database.commit([removal].into_iter().take(1)).expect("a commit"));
+        let elapsed = started_at.elapsed();
+        round_bytes.push(folder_bytes(&folder.0));
+        println!("{WORKERS} removals: {} bytes of files, written one by one in {elapsed:?}", round_bytes[round]);
+        if round < 4 {
+            database.commit([DurableWrite::ForgetRemovals(worker_ids(round))].iter()).expect("a commit");
+        }
+    }
+    drop(database);
+    let started_at = std::time::Instant::now();
+    let (_, state, _) = Database::open(&folder.0, NodeId(1)).expect("the same folder");
+    println!("{} removals read in {:?}", state.removals.len(), started_at.elapsed());
+    assert_eq!(state.removals.len(), WORKERS, "those of the last round");
+    assert!(round_bytes.iter().all(|bytes| *bytes <= 8 << 20), "{round_bytes:?}");
+}
+
 /// Limits the size of files that a process may write; 0 stands for this process.
 fn limit_file_size(pid: libc::pid_t, bytes: u64) {
     let limit = libc::rlimit { rlim_cur: bytes, rlim_max: libc::RLIM_INFINITY };
