Send a removal to live nodes for as long as an older report may be known

Callers saw: requests at a worker that had drained or left (DRAIN), from fronts that had been cut off from the cores, but not from other fronts, for over ten seconds. Cause: a removal was sent to live nodes that had not confirmed it for 10 s, then given up. Fronts that gossip of other fronts keeps live do not become live again when the cut ends, so removal_catch_up.rs does not send it either; and time without a core does not count towards the worker's time-out. With both home nodes of the pool in the cut zone the worker stayed in service until 4.7 s after the cut. Change: removals are kept as long as reports of workers are, 30 s.

--- a/crates/core/src/workers/removals.rs
+++ b/crates/core/src/workers/removals.rs
@@ -4,7 +4,8 @@
 //! [`ALL_NODES_TIMEOUT`] has passed. After [`REMOVAL_TIMEOUT`] the request is rejected, and the worker must report
 //! to another core.
 
-use crate::base::{MS, Micros, NodeId, SEC};
+use super::table::ENTRY_RETENTION;
+use crate::base::{MS, Micros, NodeId};
 use crate::protocol::RemovalKey;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -16,8 +17,6 @@
 pub const REMOVAL_TAKEOVER_DELAY: Micros = 300 * MS;
 /// The interval at which a removal is sent again to nodes that have not acknowledged it, in microseconds.
 pub const RESEND_INTERVAL: Micros = 150 * MS;
-/// The time for which a removal is kept that not all live nodes have acknowledged, in microseconds.
-const REMOVAL_RETENTION: Micros = 10 * SEC;
 
 /// A worker's request that waits to be acknowledged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,10 +96,11 @@
         self.0.values().flat_map(|removal| removal.waiting_requests.iter().map(|request| request.received_at))
     }
 
-    /// Drops old removals without pending requests.
+    /// Drops removals without pending requests once no node may have an older report of their workers: a live node that
+    /// the cores do not reach may return as late as that.
     pub fn expire(&mut self, now: Micros) {
         self.0.retain(|_, removal| {
-            !removal.waiting_requests.is_empty() || now.saturating_sub(removal.started_at) < REMOVAL_RETENTION
+            !removal.waiting_requests.is_empty() || now.saturating_sub(removal.started_at) < ENTRY_RETENTION
         });
     }
 }
--- a/crates/core/src/workers/table.rs
+++ b/crates/core/src/workers/table.rs
@@ -14,7 +14,7 @@
 /// microseconds.
 pub const REPORT_TIMEOUT: Micros = 1_500 * MS;
 /// The time without a report after which a worker is removed from the table, in microseconds.
-const ENTRY_RETENTION: Micros = 30 * SEC;
+pub(super) const ENTRY_RETENTION: Micros = 30 * SEC;
 /// The time after which a subscription that is not renewed ends, in microseconds.
 const SUBSCRIPTION_TIMEOUT: Micros = 3 * SEC;
 /// The number given to the first incarnation of a worker that does not number its incarnations.
--- a/crates/core/tests/removals.rs
+++ b/crates/core/tests/removals.rs
@@ -174,7 +174,7 @@
 type Trouble = fn(&mut Net);
 
 /// Troubles by name: what happens before a removal, and after its acknowledgement.
-fn troubles() -> [(&'static str, Trouble, Trouble); 9] {
+fn troubles() -> [(&'static str, Trouble, Trouble); 11] {
     [
         ("nothing", |_| {}, |_| {}),
         ("the cores restart", |_| {}, |net| net.kill_and_restart(0..CORES)),
@@ -245,26 +245,73 @@
                 net.cut_off.clear();
             },
         ),
+        (
+            "the fronts of a zone were cut off from the cores alone",
+            |net| {
+                net.cut_links.extend((0..CORES).flat_map(|core| [(core, 4), (core, 7)]));
+                net.run(SEC);
+            },
+            |net| {
+                net.run(12 * SEC);
+                net.cut_links.clear();
+            },
+        ),
+        (
+            "the fronts of a zone were cut off from the cores alone, for long before",
+            |net| {
+                net.cut_links.extend((0..CORES).flat_map(|core| [(core, 4), (core, 7)]));
+                net.run(6 * SEC);
+            },
+            |net| {
+                net.run(3 * SEC);
+                net.cut_links.clear();
+            },
+        ),
     ]
 }
 
+/// The pools of the simulated network: in zone z1, one home node of the first is a core, and both of the second are fronts.
+const POOLS: [&str; 2] = ["p", "q"];
+
+/// A removal of a worker of `pool` that is reported to a machine.
+struct ReportedRemoval {
+    pool: &'static str,
+    removal: WorkerReport,
+    reported_to: usize,
+}
+
+/// Returns the removals that are played with each trouble.
+fn reported_removals() -> Vec<ReportedRemoval> {
+    let mut reported = Vec::new();
+    for pool in POOLS {
+        let in_pool = |report: WorkerReport| WorkerReport { pool: pool.into(), ..report };
+        for removal in [in_pool(drain("a", 9)), in_pool(leave("a", 9)), WorkerReport::removal("a", 1)] {
+            for reported_to in [0, CORES] {
+                reported.push(ReportedRemoval { pool, removal: removal.clone(), reported_to });
+            }
+        }
+    }
+    reported
+}
+
 /// Plays one removal with a trouble and late reports. Returns the fronts that have the worker in service once all machines
 /// have been in contact for some seconds; `None` if the removal was not acknowledged.
-fn fronts_reviving(before: Trouble, after: Trouble, removal: &WorkerReport, reported_to: usize) -> Option<Vec<usize>> {
+fn fronts_reviving(before: Trouble, after: Trouble, reported: &ReportedRemoval) -> Option<Vec<usize>> {
+    let beat = |seq| WorkerReport { pool: reported.pool.into(), ..unnumbered("a", seq) };
     let mut net = Net::new();
-    net.report(0, 1, unnumbered("a", 7));
+    net.report(0, 1, beat(7));
     net.run(500 * MS);
     before(&mut net);
-    net.report(0, 2, unnumbered("a", 8));
+    net.report(0, 2, beat(8));
     net.run(500 * MS);
-    if !net.report_and_wait(reported_to, 3, removal.clone()) {
+    if !net.report_and_wait(reported.reported_to, 3, reported.removal.clone()) {
         return None;
     }
     after(&mut net);
     // The older report arrives last.
     for seq in [6, 5] {
         for machine in 0..MACHINES {
-            net.report(machine, 1_000 + net.now, unnumbered("a", seq));
+            net.report(machine, 1_000 + net.now, beat(seq));
             net.run(150 * MS);
         }
     }
@@ -285,13 +332,12 @@
 fn a_late_report_revives_no_removed_worker_whatever_starts_or_returns() {
     let mut failures = Vec::new();
     for (name, before, after) in troubles() {
-        for removal in [drain("a", 9), leave("a", 9), WorkerReport::removal("a", 1)] {
-            for reported_to in [0, CORES] {
-                let reviving = fronts_reviving(before, after, &removal, reported_to);
-                if reviving != Some(Vec::new()) {
-                    let removed = removal.removed;
-                    failures.push(format!("{name}, removed {removed}, to {reported_to}: {reviving:?}"));
-                }
+        for reported in reported_removals() {
+            let reviving = fronts_reviving(before, after, &reported);
+            if reviving != Some(Vec::new()) {
+                let ReportedRemoval { pool, removal, reported_to } = reported;
+                let removed = removal.removed;
+                failures.push(format!("{name}, pool {pool}, removed {removed}, to {reported_to}: {reviving:?}"));
             }
         }
     }
--- a/crates/core/tests/worker_net/mod.rs
+++ b/crates/core/tests/worker_net/mod.rs
@@ -51,6 +51,8 @@
     frames: BTreeMap<(Micros, u64), InFlightFrame>,
     /// Partitioned machines, all of whose frames are lost.
     pub cut_off: Vec<usize>,
+    /// Pairs of machines that lose all frames to each other.
+    pub cut_links: Vec<(usize, usize)>,
     frame_number: u64,
     acknowledgements: Vec<Acknowledgement>,
     /// The ids of the workers that each machine may send requests to.
@@ -111,6 +113,7 @@
             stalled_disks: Vec::new(),
             frames: BTreeMap::new(),
             cut_off: Vec::new(),
+            cut_links: Vec::new(),
             frame_number: 0,
             acknowledgements: Vec::new(),
             workers: vec![Vec::new(); MACHINES],
@@ -179,7 +182,7 @@
             self.now += MS;
             while let Some(entry) = self.frames.first_entry().filter(|entry| entry.key().0 <= self.now) {
                 let InFlightFrame { from, to, frame } = entry.remove();
-                if !self.cut_off.contains(&from) && !self.cut_off.contains(&to) {
+                if self.are_connected(from, to) {
                     self.step(to, Event::Frame(Box::new(frame)));
                 }
             }
@@ -191,6 +194,12 @@
         }
     }
 
+    fn are_connected(&self, from: usize, to: usize) -> bool {
+        let is_cut_off = self.cut_off.contains(&from) || self.cut_off.contains(&to);
+        let is_link_cut = self.cut_links.contains(&(from, to)) || self.cut_links.contains(&(to, from));
+        !is_cut_off && !is_link_cut
+    }
+
     /// Kills all machines at once, and starts them again on their disks after half a second.
     pub fn kill_and_restart_all(&mut self) {
         self.kill_and_restart(0..MACHINES);
