Half an event of a silent worker ends no other attempt

Callers saw: a stream cut while a worker was at work on it, around a change of the configuration (LOST). Cause: any bytes of the suspended response cancelled the other attempt, also half an event, which nobody can use. Change: the suspended response takes the place of the other attempt with its next whole event, or its proper end. Invalid events of it count as a break. Until then both go on. Test: half_an_event_of_a_silent_worker_ends_no_other_attempt; before: 'close, restore' at the half event.

--- a/crates/core/src/call/steps/suspended.rs
+++ b/crates/core/src/call/steps/suspended.rs
@@ -1,4 +1,5 @@
-//! Events of the suspended response, which may come in each phase of the other attempt.
+//! Events of the suspended response, which may come in each phase of the other attempt. The response is closed if it
+//! broke, and continues in place of the other attempt with its next whole event: its worker may break off before that.
 
 use super::streaming;
 use super::suspension::{close_suspended, restore};
@@ -7,22 +8,35 @@
 use crate::call::io::{Effect, Effects, ResponseEvent};
 use crate::call::progress::StepResult;
 use crate::call::release::disconnect;
-use crate::call::state::{AwaitingHead, Call, CallState, Connecting, QuotaGranted, Streaming};
+use crate::call::state::{AwaitingHead, Call, CallState, Connecting, QuotaGranted, ResponseStream, Streaming};
 use std::ops::ControlFlow;
 
-/// Steps a call by an event of its suspended response: the response is closed if it broke, and otherwise continues
-/// in place of the other attempt.
+/// What an event of the suspended response means for its call.
+enum Progress {
+    /// The response has ended before its last byte.
+    Broken,
+    /// No whole event has come yet.
+    Incomplete,
+    /// The response continues or ends properly.
+    Continues,
+}
+
+/// Steps a call by an event of its suspended response.
 pub fn step(
     mut state: CallState,
     event: ResponseEvent,
     context: &mut StepContext,
     effects: &mut Effects,
 ) -> StepResult<CallState> {
-    if let Some(granted) = state.granted_mut()
-        && is_break(granted, &event)
-    {
-        drop_broken(granted, context, effects);
-        return ControlFlow::Continue(state);
+    if let Some(granted) = state.granted_mut() {
+        match receive(granted, &event, context) {
+            Progress::Broken => {
+                drop_broken(granted, context, effects);
+                return ControlFlow::Continue(state);
+            }
+            Progress::Incomplete => return ControlFlow::Continue(state),
+            Progress::Continues => {}
+        }
     }
     let call = match state {
         CallState::QuotaGranted(call) => leave_queue(call, context),
@@ -40,13 +54,27 @@
     }
 }
 
-/// Whether the event ends the suspended response before its last byte.
-fn is_break(granted: &QuotaGranted, event: &ResponseEvent) -> bool {
-    let Some(suspended) = &granted.suspended else { return true };
+/// Applies an event to the suspended response, as long as that only adds to an incomplete event.
+fn receive(granted: &mut QuotaGranted, event: &ResponseEvent, context: &StepContext) -> Progress {
+    let Some(suspended) = &mut granted.suspended else { return Progress::Broken };
     match event {
-        ResponseEvent::Chunk(_) => false,
-        ResponseEvent::End => !suspended.stream.is_complete(),
-        ResponseEvent::Aborted => true,
+        ResponseEvent::Chunk(chunk) => receive_chunk(&mut suspended.stream, chunk, context),
+        ResponseEvent::End if suspended.stream.is_complete() => Progress::Continues,
+        ResponseEvent::End | ResponseEvent::Aborted => Progress::Broken,
+    }
+}
+
+fn receive_chunk(stream: &mut ResponseStream, chunk: &[u8], context: &StepContext) -> Progress {
+    let Some(mut events) = stream.events.clone() else { return Progress::Continues };
+    match events.push(chunk) {
+        Err(_) => Progress::Broken,
+        Ok(whole_events) if whole_events.is_empty() => {
+            stream.events = Some(events);
+            stream.last_received_at = context.now;
+            Progress::Incomplete
+        }
+        // The response is restored first, and then forwards the chunk.
+        Ok(_) => Progress::Continues,
     }
 }
 
--- a/crates/core/tests/call/silence.rs
+++ b/crates/core/tests/call/silence.rs
@@ -86,6 +86,39 @@
     ]);
 }
 
+/// Guards against a cut answer of a worker that was left for half an event of one that then breaks off.
+#[test]
+fn half_an_event_of_a_silent_worker_ends_no_other_attempt() {
+    let half = |text: &str| ResponseEvent::Chunk(Bytes::from(text.to_owned()));
+    let sends_half = || vec![(Deliver(Event::Suspended(half("id: 1\nda"))), "")];
+    let other_continues = || {
+        vec![
+            (Deliver(Event::Connected), "send after 0 window 1"),
+            (ok_head(true, true), ""),
+            (chunk(SECOND_EVENT), "forward 15"),
+            (Deliver(Event::ResponseEnd), "finish"),
+        ]
+    };
+    let breaks = vec![(Deliver(Event::Suspended(ResponseEvent::Aborted)), "close suspended")];
+    let is_invalid = vec![(Deliver(Event::Suspended(half("ta: b\n\nid: 0\ndata: a\n\n"))), "close suspended")];
+    let sends_rest = vec![
+        (Deliver(Event::Suspended(half("ta: b\n\n"))), "close, restore, forward 15"),
+        (Deliver(Event::ResponseEnd), "finish"),
+    ];
+    let other_fails = vec![
+        (Deliver(Event::AttemptFailed(FailurePoint::Connect)), "restore"),
+        (chunk("ta: b\n\n"), "forward 15"),
+        (Deliver(Event::ResponseEnd), "finish"),
+    ];
+    let after_half = |last: Script| requested_elsewhere(followed_by(sends_half(), last));
+    check_scripts(vec![
+        ("then it breaks off", after_half(followed_by(breaks, other_continues()))),
+        ("then its events are invalid", after_half(followed_by(is_invalid, other_continues()))),
+        ("then it sends the rest", after_half(sends_rest)),
+        ("then the other fails", after_half(other_fails)),
+    ]);
+}
+
 #[test]
 fn a_silent_worker_that_breaks_off_ends_the_attempt_that_replaces_it() {
     let breaks = || vec![(Deliver(Event::Suspended(ResponseEvent::Aborted)), "close suspended")];
