--- a/crates/node/tests/disk.rs
+++ b/crates/node/tests/disk.rs
@@ -285,7 +285,9 @@
         let removals: Vec<_> =
             worker_ids(round).iter().map(|id| DurableWrite::Removal(WorkerReport::removal(id, 1))).collect();
         let started_at = std::time::Instant::now();
-        removals.iter().for_each(|removal| database.commit([removal].into_iter().take(1)).expect("a commit"));
+        for removal in &removals {
+            database.commit(std::iter::once(removal)).expect("a commit");
+        }
         let elapsed = started_at.elapsed();
         round_bytes.push(folder_bytes(&folder.0));
         println!("{WORKERS} removals: {} bytes of files, written one by one in {elapsed:?}", round_bytes[round]);
