--- a/crates/core/src/node/dissemination/mod.rs
+++ b/crates/core/src/node/dissemination/mod.rs
@@ -141,7 +141,7 @@
                 self.on_update(envelope.incarnation_of_sender(), &update, now);
             }
             DisseminationMessage::Removals { reports } => self.on_removals(from, &reports, envelope.delay, now),
-            DisseminationMessage::RemovalsReceived { keys } => self.on_removals_received(from, &keys),
+            DisseminationMessage::RemovalsReceived { keys } => self.on_removals_received(from, &keys, now),
             DisseminationMessage::RemovalsKnownByAll { keys } => self.on_removals_known_by_all(&keys),
             DisseminationMessage::Reports { reports } => {
                 self.on_reports(envelope.incarnation_of_sender(), envelope.sent_at, &reports, now);
--- a/crates/core/src/node/dissemination/removals.rs
+++ b/crates/core/src/node/dissemination/removals.rs
@@ -267,14 +267,14 @@
         }
     }
 
-    /// Records a node's acknowledgement of removals. The next tick acts on it: every node acknowledges every removal, so
-    /// a pass over all removals for each acknowledgement would keep a core of a large fleet busy.
-    pub(in crate::node) fn on_removals_received(&mut self, from: NodeId, keys: &[RemovalKey]) {
+    /// Records a node's acknowledgement of removals.
+    pub(in crate::node) fn on_removals_received(&mut self, from: NodeId, keys: &[RemovalKey], now: Micros) {
         for key in keys {
             if let Some(removal) = self.dissemination.workers.removals.get(key) {
                 removal.known_by.insert(from);
             }
         }
+        self.tick_removals(now);
     }
 
     /// Stops spreading removals that all live nodes know.
