--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -120,7 +120,14 @@
     for attempt in 0..200 {
         let number = (process + attempt * 251) % (100 * 250);
         let (a, b) = (u8::try_from(100 + number / 250).ok()?, u8::try_from(number % 250 + 1).ok()?);
-        let ports = [FRONT_PORT, READY_PORT, CONTROL_PORT, FIRST_INTERNAL_PORT, FIRST_INTERNAL_PORT + 1, 8068];
+        let ports = [
+            FRONT_PORT,
+            READY_PORT,
+            CONTROL_PORT,
+            FIRST_INTERNAL_PORT,
+            FIRST_INTERNAL_PORT + 1,
+            FIRST_INTERNAL_PORT + 15,
+        ];
         let is_free = (1..=addresses)
             .all(|last| ports.iter().all(|port| TcpListener::bind(format!("127.{a}.{b}.{last}:{port}")).is_ok()));
         if is_free {
@@ -170,12 +177,6 @@
         Ok(Fleet { machines, deployment, folder, program, seeds })
     }
 
-    /// An address of the deployment's network at which no machine is.
-    pub fn address(&self, last: u8) -> String {
-        let network = self.machines[0].ip.rsplit_once('.').expect("an address").0;
-        format!("{network}.{last}")
-    }
-
     fn settings(&self, index: usize) -> String {
         let machine = &self.machines[index];
         let is_core = machine.role == "core";
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -8,7 +8,6 @@
 #[derive(Clone, Debug)]
 pub struct Reply {
     pub status: u16,
-    pub head: String,
     pub body: String,
 }
 
@@ -78,7 +77,7 @@
     } else {
         return None;
     };
-    Some(Reply { status, head: head.to_owned(), body })
+    Some(Reply { status, body })
 }
 
 fn chunks(mut rest: &str) -> Option<String> {
