--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 case=review/standin-2/target/release/review-cases
 [ -x "$case" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
-exec "$case" refused-in-force review/5/record.txt
+exec "$case" deep-document review/5/record.txt
--- a/review/standin-2/src/fleet.rs
+++ b/review/standin-2/src/fleet.rs
@@ -84,6 +84,13 @@
         }
     }
 
+    /// Returns how the process ended, if it did so by itself; it counts as not running from then on.
+    pub fn ended(&mut self) -> Option<std::process::ExitStatus> {
+        let status = self.child.as_mut()?.try_wait().ok()??;
+        self.child = None;
+        Some(status)
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&mut self) {
         self.signal(SIGKILL);
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,6 +1,7 @@
 //! The cases of the second review that are scripts: `review-cases CASE RECORD`. Exits with 1 if the rule was broken, with
 //! 0 if it held, and with 2 if the case couldn't run. With `TROUBLE=0` in the environment the disruption is left out.
 
+mod deep_document;
 mod fleet;
 mod foreign_outcome;
 mod http;
@@ -32,6 +33,7 @@
         }
     };
     let verdict = match case.as_str() {
+        "deep-document" => deep_document::run(trouble, &record),
         "foreign-outcome" => foreign_outcome::run(trouble, &record),
         "refused-in-force" => refused_in_force::run(trouble, &record),
         _ => Err(format!("no case {case}")),
