Read deeply nested JSON without recursion once a level

A whole document of 8,340 to 8,990 levels passes the front that gets it and ends the cores that it forwards to. The same with a patch, a worker's report, the body of a call, a list of cores, and a settings file that is read again.

Cause: the JSON library recurses once a level, also where it only skips a value (LazyValue, iterators, `get`), and every thread has 2 MiB of stack. The check of depth was run on the translated document alone, after the platform's own document had been parsed.

Change: `sumacvale_core::json` masks all levels below the 64th before the library gets the text: each part of 64 levels is checked by itself and replaced by an empty list of the same length, in one pass. All readers of JSON from outside use it. A new change may have 1,024 levels (checked at the node that gets it, for voters of a release without the bound, and again at the voters); over that it is invalid: 400.

--- a/crates/compare/src/state_report.rs
+++ b/crates/compare/src/state_report.rs
@@ -2,6 +2,7 @@
 
 use sonic_rs::{JsonContainerTrait, JsonValueTrait, Value};
 use std::collections::BTreeMap;
+use sumacvale_core::json::parse as parse_json;
 
 /// The state report of one node: what the node knows of the fleet.
 pub struct StateReport {
@@ -14,8 +15,10 @@
     /// # Errors
     /// The remedy, where the body is no state report.
     pub fn read(body: &[u8]) -> Result<StateReport, String> {
-        let json: Value = sonic_rs::from_slice(body)
-            .map_err(|_| "the response is not JSON; use the sumacvale-compare of the node's release".to_owned())?;
+        let json = std::str::from_utf8(body)
+            .ok()
+            .and_then(|text| parse_json(text).ok())
+            .ok_or("the response is not JSON; use the sumacvale-compare of the node's release")?;
         if json.pointer(["nodes"]).is_none() {
             return Err("the response contains no nodes; use the sumacvale-compare of the node's release".into());
         }
--- a/crates/core/src/call/steps/body.rs
+++ b/crates/core/src/call/steps/body.rs
@@ -9,6 +9,7 @@
 use crate::call::rejections::RejectionReason;
 use crate::call::state::{Attempts, BodyRead, Call, CallState, Routed};
 use crate::config::{Match, TrafficKind};
+use crate::json::mask_deep_levels;
 use crate::placement::PromptRequest;
 use bytes::Bytes;
 use sonic_rs::{JsonValueTrait, LazyValue};
@@ -101,9 +102,10 @@
 /// Returns the hash of the first characters of the prompt in the JSON body.
 fn prompt_prefix_hash(body: &Bytes, matched: &Match) -> Result<u64, LocalResponse> {
     let reject = |remedy: &str| LocalResponse::new(RejectionReason::InvalidBody, remedy);
-    sonic_rs::from_slice::<LazyValue>(body).map_err(|_| reject("send a body of valid JSON"))?;
+    let bounded = mask_deep_levels(body).map_err(|_| reject("send a body of valid JSON"))?;
+    sonic_rs::from_slice::<LazyValue>(&bounded).map_err(|_| reject("send a body of valid JSON"))?;
     let pointer = || matched.prompt.join("/");
-    let prompt = match sonic_rs::get_from_slice(body, &matched.prompt) {
+    let prompt = match sonic_rs::get_from_slice(&bounded, &matched.prompt) {
         Ok(prompt) => prompt,
         Err(_) if matched.kind == TrafficKind::Lookup => return Ok(hash64(body)),
         Err(_) => return Err(reject(&format!("the prompt at /{} is missing", pointer()))),
--- a/crates/core/src/config/check/syntax.rs
+++ b/crates/core/src/config/check/syntax.rs
@@ -1,6 +1,7 @@
 //! The syntax check of a document: valid JSON within the limits of size and depth, without duplicate names.
 
 use super::ConfigError;
+use crate::json::nesting_depth;
 use sonic_rs::{JsonValueTrait, LazyValue};
 use std::collections::BTreeSet;
 
@@ -34,27 +35,6 @@
     errors
 }
 
-/// Returns the maximum nesting depth of objects and lists, without parsing.
-fn nesting_depth(document: &[u8]) -> usize {
-    let (mut depth, mut deepest) = (0usize, 0);
-    let (mut in_string, mut escaped) = (false, false);
-    for byte in document {
-        match (in_string, *byte) {
-            (true, _) if escaped => escaped = false,
-            (true, b'\\') => escaped = true,
-            (true, b'"') => in_string = false,
-            (false, b'"') => in_string = true,
-            (false, b'{' | b'[') => {
-                depth += 1;
-                deepest = deepest.max(depth);
-            }
-            (false, b'}' | b']') => depth = depth.saturating_sub(1),
-            _ => {}
-        }
-    }
-    deepest
-}
-
 /// Records each name that occurs more than once in one object. The parser would keep only one of the members.
 fn collect_duplicates(json: &str, pointer: &str, errors: &mut Vec<ConfigError>) {
     match json.trim_start().as_bytes().first() {
--- a/crates/core/src/config/patch.rs
+++ b/crates/core/src/config/patch.rs
@@ -7,6 +7,7 @@
 use super::ConfigError;
 use super::check::escape_pointer;
 use super::object_writer::ObjectWriter;
+use crate::json::{BoundedJson, nesting_depth};
 use musli::{Decode, Encode};
 use sha2::{Digest as _, Sha256};
 use sonic_rs::{JsonValueTrait, LazyValue};
@@ -82,6 +83,12 @@
         hash.finalize().into()
     }
 
+    /// Returns the maximum nesting depth of the items that are put, in levels.
+    pub fn nesting_depth(&self) -> usize {
+        let items = self.lists.iter().flat_map(|list| &list.put);
+        items.map(|item| nesting_depth(item.json.as_bytes())).max().unwrap_or(0)
+    }
+
     /// Returns the errors of the patch itself, independent of the document that it is applied to.
     pub fn validation_errors(&self) -> Vec<ConfigError> {
         if self.lists.iter().all(|list| list.put.is_empty() && list.remove.is_empty()) {
@@ -113,21 +120,22 @@
         if !errors.is_empty() {
             return Err(errors);
         }
+        let bounded = BoundedJson::new(document).map_err(|error| vec![ConfigError::NotJson(error.to_string())])?;
         let mut lists: BTreeMap<&str, &ListPatch> = self.lists.iter().map(|list| (list.list.as_str(), list)).collect();
         let mut patched = ObjectWriter::with_capacity(document.len() + self.size());
-        for member in sonic_rs::to_object_iter(document) {
+        for member in sonic_rs::to_object_iter(bounded.masked()) {
             let (name, value) = member.map_err(|error| vec![ConfigError::NotJson(error.to_string())])?;
             if name.as_ref() as &str == self.number_at {
                 patched.add_json(&name, &self.number.to_string());
             } else if let Some(list) = lists.remove(name.as_ref() as &str) {
-                patched.add_json(&name, &list.apply(value.as_raw_str())?);
+                patched.add_json(&name, &list.apply(&bounded, value.as_raw_str())?);
             } else {
-                patched.add_json(&name, value.as_raw_str());
+                patched.add_json(&name, bounded.original_of(value.as_raw_str()));
             }
         }
         // Lists that the document doesn't have yet.
         for (name, list) in lists {
-            patched.add_json(name, &list.apply("[]")?);
+            patched.add_json(name, &list.apply(&bounded, "[]")?);
         }
         Ok(patched.finish())
     }
@@ -157,9 +165,9 @@
         }
     }
 
-    /// Applies the changes to `list` and returns the resulting list, both as JSON. Replaced items keep
-    /// their positions; new items are appended in the order of the patch.
-    fn apply(&self, list: &str) -> Result<String, Vec<ConfigError>> {
+    /// Applies the changes to `list`, a part of the masked document or an empty list, and returns the resulting
+    /// list as JSON. Replaced items keep their positions; new items are appended in the order of the patch.
+    fn apply(&self, document: &BoundedJson, list: &str) -> Result<String, Vec<ConfigError>> {
         let mut put: BTreeMap<&str, &str> =
             self.put.iter().map(|item| (item.name.as_str(), item.json.as_str())).collect();
         let mut remove: BTreeSet<&str> = self.remove.iter().map(String::as_str).collect();
@@ -171,7 +179,7 @@
             if remove.remove(name) {
                 continue;
             }
-            patched.add_json(put.remove(name).unwrap_or(item.as_raw_str()));
+            patched.add_json(put.remove(name).unwrap_or_else(|| document.original_of(item.as_raw_str())));
         }
         let added = self.put.iter().filter(|item| put.contains_key(item.name.as_str()));
         added.for_each(|item| patched.add_json(&item.json));
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -7,7 +7,7 @@
 //! - Control plane: [`node`] composes [`consensus`], [`freshness`], [`lease`], [`quota`], [`peers`] and
 //!   [`workers`]; [`protocol`] defines the messages between nodes.
 //! - Data plane: [`call`] composes [`queue`], [`placement`], [`retry`], [`cache`] and [`stream`].
-//! - Both: [`config`] and [`base`].
+//! - Both: [`config`], [`json`] and [`base`].
 
 pub mod base;
 pub mod cache;
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod consensus;
 pub mod freshness;
+pub mod json;
 pub mod lease;
 pub mod node;
 pub mod peers;
--- a/crates/core/src/node/consensus/validation.rs
+++ b/crates/core/src/node/consensus/validation.rs
@@ -19,6 +19,9 @@
     /// Returns why a change cannot be admitted, whatever the state of the fleet. A change of voters is
     /// validated only when a ballot for it may start, see [`Node::voter_change_rejection`].
     pub(super) fn change_error(&self, change: &Change, base: u64) -> Option<String> {
+        if let Some(error) = change.nesting_error() {
+            return Some(error.to_string());
+        }
         match change {
             Change::Tree(body) => self.parse_config(body).err(),
             Change::Document(body) => match self.parse_config(body) {
--- a/crates/core/src/protocol/consensus.rs
+++ b/crates/core/src/protocol/consensus.rs
@@ -2,7 +2,8 @@
 
 use super::{EntryDigest, LogEntry, Voter};
 use crate::base::{ChangeId, Incarnation, NodeId, Version};
-use crate::config::Patch;
+use crate::config::{ConfigError, Patch};
+use crate::json::nesting_depth;
 use musli::{Decode, Encode};
 
 /// The identifier of a ballot, unique among all proposers and their incarnations.
@@ -18,6 +19,10 @@
     pub incarnation: Incarnation,
 }
 
+/// The maximum nesting depth of the content of a new change, in levels of objects and lists. A version that was
+/// decided is read at any depth up to [`crate::json::MAX_DEPTH`].
+pub const MAX_CHANGE_DEPTH: usize = 1_024;
+
 /// A change of the configuration, or a read.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub enum Change {
@@ -44,6 +49,16 @@
         matches!(self, Change::QueryOutcome | Change::ReadHistory | Change::ReadNewest)
     }
 
+    /// Returns the error of a change whose content is nested deeper than [`MAX_CHANGE_DEPTH`] levels.
+    pub fn nesting_error(&self) -> Option<ConfigError> {
+        let depth = match self {
+            Change::Tree(body) | Change::Document(body) => nesting_depth(body.as_bytes()),
+            Change::Patch(patch) => patch.nesting_depth(),
+            Change::Voters(_) | Change::QueryOutcome | Change::ReadHistory | Change::ReadNewest => 0,
+        };
+        (depth > MAX_CHANGE_DEPTH).then(|| ConfigError::TooDeep { pointer: String::new(), max_depth: MAX_CHANGE_DEPTH })
+    }
+
     /// Returns the size of the content in bytes.
     pub fn size(&self) -> usize {
         match self {
--- a/crates/core/src/protocol/mod.rs
+++ b/crates/core/src/protocol/mod.rs
@@ -14,7 +14,7 @@
 mod message;
 mod quota;
 
-pub use consensus::{Ballot, Change, ChangeOutcome, ConsensusMessage};
+pub use consensus::{Ballot, Change, ChangeOutcome, ConsensusMessage, MAX_CHANGE_DEPTH};
 pub use digest::EntryDigest;
 pub use dissemination::{DisseminationMessage, Heartbeat, PeerRecord, RemovalKey, UNKNOWN_INCARNATION, WorkerReport};
 pub use entry::{LogEntry, Voter};
--- a/crates/core/tests/documents/main.rs
+++ b/crates/core/tests/documents/main.rs
@@ -1,5 +1,6 @@
 //! Changes of documents with revisions, decided by cores that the test steps directly.
 
+mod deep;
 mod net;
 #[path = "../nodes/mod.rs"]
 mod nodes;
--- a/crates/node/src/admin/config.rs
+++ b/crates/node/src/admin/config.rs
@@ -10,6 +10,7 @@
 use sumacvale_core::base::{ChangeId, NodeId, Version};
 use sumacvale_core::config::check::ConfigError;
 use sumacvale_core::config::{effective_settings, validate};
+use sumacvale_core::json::parse as parse_json;
 use sumacvale_core::protocol::{Change, ChangeOutcome, Voter};
 use viz::{Request, RequestExt, Response, StatusCode, header};
 
@@ -307,7 +308,7 @@
         Ok(parts) => parts,
         Err(response) => return response,
     };
-    let Ok(list) = sonic_rs::from_str::<Value>(&body) else {
+    let Ok(list) = parse_json(&body) else {
         return config_errors(StatusCode::BAD_REQUEST, &[ConfigError::NotJson("send a list of cores".into())]);
     };
     let mut voters = Vec::new();
--- a/crates/node/src/admin/report.rs
+++ b/crates/node/src/admin/report.rs
@@ -2,9 +2,10 @@
 
 use super::responses::{error_response, json};
 use crate::shared::{Command, Shared};
-use sonic_rs::{JsonValueTrait, Value};
+use sonic_rs::JsonValueTrait;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use sumacvale_core::json::parse as parse_json;
 use sumacvale_core::protocol::WorkerReport;
 use viz::{Request, Response, StatusCode};
 
@@ -55,7 +56,7 @@
 
 /// Parses and validates the JSON body of a report.
 fn parse_report(body: &str) -> Result<WorkerReport, FieldError> {
-    let document: Value = sonic_rs::from_str(body).map_err(|_| ("", "one JSON object"))?;
+    let document = parse_json(body).map_err(|_| ("", "one JSON object"))?;
     let text = |field: &'static str| {
         document
             .pointer([field])
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -37,13 +37,12 @@
 /// Replaces the configuration document, based on version `base`. The id of the change is the hash of the document,
 /// so a repeated submission is the same change.
 pub async fn put_document(shared: &Shared, base: u64, body: String) -> ChangeOutcome {
-    if let Err(errors) = (shared.adapter.config_reader)(&body) {
-        return ChangeOutcome::Invalid {
-            reason: errors.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "),
-        };
-    }
     let change_id = ChangeId(hash64(body.as_bytes()).max(1));
-    submit_change(shared, (change_id, false), base, Change::Document(body)).await
+    let change = Change::Document(body);
+    if let Some(reason) = content_error(shared, &change) {
+        return ChangeOutcome::Invalid { reason };
+    }
+    submit_change(shared, (change_id, false), base, change).await
 }
 
 /// Changes single items of the configuration document, based on version `base`. The id of the change is the hash
@@ -51,7 +50,22 @@
 pub async fn patch_document(shared: &Shared, base: u64, patch: Patch) -> ChangeOutcome {
     let [b0, b1, b2, b3, b4, b5, b6, b7, ..] = patch.hash();
     let change_id = ChangeId(u64::from_be_bytes([b0, b1, b2, b3, b4, b5, b6, b7]).max(1));
-    submit_change(shared, (change_id, false), base, Change::Patch(patch)).await
+    let change = Change::Patch(patch);
+    if let Some(reason) = content_error(shared, &change) {
+        return ChangeOutcome::Invalid { reason };
+    }
+    submit_change(shared, (change_id, false), base, change).await
+}
+
+/// Returns why the content of a change is invalid, as far as this node can tell without the version it is built
+/// on. Voters check it again; what is nested too deeply is stopped here for those of a release that does not.
+fn content_error(shared: &Shared, change: &Change) -> Option<String> {
+    if let Some(error) = change.nesting_error() {
+        return Some(error.to_string());
+    }
+    let Change::Document(body) = change else { return None };
+    let errors = (shared.adapter.config_reader)(body).err()?;
+    Some(errors.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))
 }
 
 /// Returns the newest configuration document: it contains every change that was acknowledged before this call.
