Number forwarded changes from a random start of each process

A core without a vote passes a change on to a frozen voter and, after 250 ms, to another one; it is killed and started again; a second operator sends it another change. The frozen voter wakes, answers the first change, and the core takes that for the outcome of the second.

Cause: a forwarded change or read had the number of the caller's request on the host, which counts from 1 in each process. A core keeps its node id over a restart, so replies to the process before have the same receiver and the same numbers. Every other request between nodes has a number of the node, which begins at a random one.

Change: a forwarded request gets a number of the node; the host's number stays on the node. A reply counts only from a voter that was sent the request.

Result: on all three tests of documents/restarts.rs fail ("two changes are acknowledged as version 2", "a node that was not asked has no say"), and no_process_numbers_its_requests_as_the_process_before_it fails for Forward on machine 4; all pass now.

--- a/crates/core/src/node/consensus/forwarding.rs
+++ b/crates/core/src/node/consensus/forwarding.rs
@@ -3,6 +3,10 @@
 //! A request goes to the nearest voter first, and to another one if that voter declines or does not reply.
 //! The caller is told that nothing was proposed only if every voter that was sent the request has declined
 //! it, each after a single send; otherwise the outcome of an abandoned request is unknown.
+//!
+//! A request is sent under a number of this node, not under the number by which the caller's connection waits:
+//! a core keeps its identifier over a restart, and numbers that begin anew would match late replies to its earlier
+//! incarnation. The numbers of the node begin at a random one.
 
 use super::admission::SubmittedChange;
 use super::outcomes::CHANGE_TIMEOUT;
@@ -31,6 +35,8 @@
 /// A change or read that this node forwards to a voter for a caller.
 #[derive(Clone, Debug)]
 pub(in crate::node) struct Forward {
+    /// The identifier of the caller's request on this node.
+    request_id: u64,
     submitted: SubmittedChange,
     /// When the request was received, in microseconds of this node's clock.
     pub received_at: Micros,
@@ -50,8 +56,9 @@
 }
 
 impl Forward {
-    fn new(submitted: SubmittedChange, now: Micros) -> Self {
+    fn new(request_id: u64, submitted: SubmittedChange, now: Micros) -> Self {
         Forward {
+            request_id,
             submitted,
             received_at: now,
             deadline: now + CHANGE_TIMEOUT + FORWARD_MARGIN,
@@ -70,7 +77,7 @@
     }
 
     /// Records that the request is sent to this voter now, and returns the message.
-    fn send_to(&mut self, voter: NodeId, request_id: u64, now: Micros) -> ConsensusMessage {
+    fn send_to(&mut self, voter: NodeId, forward_id: u64, now: Micros) -> ConsensusMessage {
         self.resend_at = now + RESEND_INTERVAL;
         self.last_send = Some(LastSend { voter, sent_at: now });
         self.undeclined.insert(voter);
@@ -80,7 +87,7 @@
         }
         let SubmittedChange { change_id, is_first_send, base, change } = self.submitted.clone();
         let is_first_send = is_first_send && is_first_voter;
-        ConsensusMessage::Forward { request_id, change_id, is_first_send, base, change }
+        ConsensusMessage::Forward { request_id: forward_id, change_id, is_first_send, base, change }
     }
 }
 
@@ -92,7 +99,8 @@
             return;
         }
         self.counters.forwarded += 1;
-        self.consensus.forwards.insert(request_id, Forward::new(submitted, now));
+        let forward_id = self.next_request_id();
+        self.consensus.forwards.insert(forward_id, Forward::new(request_id, submitted, now));
         self.tick_forward(now);
     }
 
@@ -106,18 +114,18 @@
 
     /// Abandons the forwarded requests that cannot be completed in time, and sends those that are due.
     pub(in crate::node) fn tick_forward(&mut self, now: Micros) {
-        for (request_id, mut forward) in std::mem::take(&mut self.consensus.forwards) {
+        for (forward_id, mut forward) in std::mem::take(&mut self.consensus.forwards) {
             if now >= forward.deadline || self.should_abandon_forward(&forward, now) {
-                self.complete_forward(request_id, forward.abandoned_outcome());
+                self.complete_forward(&forward, forward.abandoned_outcome());
                 continue;
             }
-            self.forward_to_voter(request_id, &mut forward, now);
-            self.consensus.forwards.insert(request_id, forward);
+            self.forward_to_voter(forward_id, &mut forward, now);
+            self.consensus.forwards.insert(forward_id, forward);
         }
     }
 
-    fn complete_forward(&mut self, request_id: u64, outcome: ChangeOutcome) {
-        self.outbox.push(Effect::CompleteChange { request_id, outcome });
+    fn complete_forward(&mut self, forward: &Forward, outcome: ChangeOutcome) {
+        self.outbox.push(Effect::CompleteChange { request_id: forward.request_id, outcome });
     }
 
     /// Returns whether a request must be abandoned: no voter has replied since it was received, all voters
@@ -136,7 +144,7 @@
     }
 
     /// Sends the request to the next voter if a send is due or the last voter is unresponsive.
-    fn forward_to_voter(&mut self, request_id: u64, forward: &mut Forward, now: Micros) {
+    fn forward_to_voter(&mut self, forward_id: u64, forward: &mut Forward, now: Micros) {
         let is_unresponsive = forward
             .last_send
             .is_some_and(|last| self.is_core_unresponsive(last.voter, last.sent_at, UNRESPONSIVE_TIMEOUT, now));
@@ -147,7 +155,7 @@
         if is_unresponsive && now < forward.resend_at && forward.tried.contains(&voter) {
             return;
         }
-        let message = forward.send_to(voter, request_id, now);
+        let message = forward.send_to(voter, forward_id, now);
         self.send_consensus(voter, message, now);
     }
 
@@ -176,37 +184,38 @@
         }
     }
 
-    /// Handles a voter's reply to a forwarded request.
-    pub(super) fn on_forward_reply(&mut self, sender: NodeId, request_id: u64, outcome: ChangeOutcome, now: Micros) {
-        let Some(forward) = self.consensus.forwards.get(&request_id) else { return };
+    /// Handles a voter's reply to a forwarded request. A node that was not sent the request has no say.
+    pub(super) fn on_forward_reply(&mut self, sender: NodeId, forward_id: u64, outcome: ChangeOutcome, now: Micros) {
+        let forward = self.consensus.forwards.get(&forward_id).filter(|forward| forward.tried.contains(&sender));
+        let Some(forward) = forward else { return };
         match outcome {
-            ChangeOutcome::NoQuorum => self.on_forward_declined(sender, request_id, now),
+            ChangeOutcome::NoQuorum => self.on_forward_declined(sender, forward_id, now),
             ChangeOutcome::Unknown if !forward.submitted.change.is_read() => {}
             outcome => {
-                self.consensus.forwards.remove(&request_id);
-                self.complete_forward(request_id, outcome);
+                let Some(forward) = self.consensus.forwards.remove(&forward_id) else { return };
+                self.complete_forward(&forward, outcome);
             }
         }
     }
 
     /// Handles a voter's reply that it has proposed nothing for this request. Completes the request once
     /// every voter that was sent it has declined and no other live voter is left.
-    fn on_forward_declined(&mut self, sender: NodeId, request_id: u64, now: Micros) {
-        let Some(mut forward) = self.consensus.forwards.remove(&request_id) else { return };
+    fn on_forward_declined(&mut self, sender: NodeId, forward_id: u64, now: Micros) {
+        let Some(mut forward) = self.consensus.forwards.remove(&forward_id) else { return };
         forward.undeclined.remove(&sender);
         forward.resend_at = now;
         let is_untried =
             |voter: NodeId| !forward.tried.contains(&voter) && self.dissemination.peers.is_alive(voter, now);
         let has_untried = self.other_voters().any(is_untried);
         if forward.undeclined.is_empty() && !has_untried {
-            self.complete_forward(request_id, forward.abandoned_outcome());
+            self.complete_forward(&forward, forward.abandoned_outcome());
             return;
         }
         if has_untried {
-            self.forward_to_voter(request_id, &mut forward, now);
+            self.forward_to_voter(forward_id, &mut forward, now);
         } else {
             forward.resend_at = now + RESEND_INTERVAL;
         }
-        self.consensus.forwards.insert(request_id, forward);
+        self.consensus.forwards.insert(forward_id, forward);
     }
 }
--- a/crates/core/tests/documents/main.rs
+++ b/crates/core/tests/documents/main.rs
@@ -6,6 +6,7 @@
 mod nodes;
 mod packed;
 mod patches;
+mod restarts;
 
 use net::{ALL, CORES, FRONT, SimulatedNetwork, machine_settings};
 use nodes::{core, pool_document};
