Give a restarted core no unit of a window that its earlier process used

Callers would see: more calls of a tenant admitted in one window than its quota.

Cause: a grant names the total of units granted to the node in the window, and the node adds the difference to the total that it knows. A core keeps its node id over a restart, so the total counts both processes, while the new process knows a total of 0.

Change: in a window that began before the process did, the first total is taken as known, and its units are skipped; later grants add to it exactly. At most one grant for each tenant is lost by this, until the window ends. Fronts take a new id at each start, and windows that begin later are not concerned. The bounds of rates are kept by incarnation and were right.

--- a/crates/core/src/node/quota/mod.rs
+++ b/crates/core/src/node/quota/mod.rs
@@ -29,6 +29,8 @@
     pub share_pools: SharePools,
     /// For its own calls: the slices and shares that the data plane takes units from.
     pub slices: Arc<TenantQuotas>,
+    /// Whether an earlier process of this core, under the same identifier, may have been granted units.
+    pub(in crate::node) has_earlier_process: bool,
     /// As a voter: the grants that are on its disk or are being written to it.
     pub(in crate::node) grants: BTreeMap<(String, NodeId), WindowGrant>,
     /// The newest window of each tenant with a grant.
@@ -56,6 +58,7 @@
             window_ledger: WindowLedger::default(),
             share_pools: SharePools::default(),
             slices,
+            has_earlier_process: !durable.entries.is_empty(),
             grants: durable.grants.clone(),
             windows: durable.grants.values().map(newest_window).collect(),
             slice_requests: BTreeMap::new(),
--- a/crates/core/src/node/quota/windows.rs
+++ b/crates/core/src/node/quota/windows.rs
@@ -197,13 +197,26 @@
         if !self.settings.is_core {
             self.leases.grantor.observe_epoch(role, epoch);
         }
-        self.quota.slices.add_granted(tenant, window, granted_total, sent_at + remaining);
+        let until = sent_at + remaining;
+        let is_skipped = self.may_have_used_units_before(tenant, until)
+            && self.quota.slices.skip_earlier_units(tenant, window, granted_total);
+        self.quota.slices.add_granted(tenant, window, granted_total, until);
         self.outbox.push(Effect::WakeTenant { tenant: tenant.to_owned() });
-        if waiting > 0 {
+        if waiting > 0 || is_skipped {
             self.request_slice(tenant, waiting, 0, None, self.clock.last_step);
         }
     }
 
+    /// Returns whether an earlier process of this core may have used units of the window that ends at `until`: the
+    /// window began before this process did.
+    fn may_have_used_units_before(&self, tenant: &str, until: Micros) -> bool {
+        let length = match self.config.tenants.get(tenant).map(|tenant| &tenant.quota) {
+            Some(QuotaLimit::Window(limit)) => limit.window,
+            _ => Micros::MAX,
+        };
+        self.quota.has_earlier_process && until < self.clock.started_at.saturating_add(length)
+    }
+
     /// Handles the lease holder's reply that a window is spent. `delay` is the reply's transit time, by which
     /// the remaining time of the window has decreased; if the window has ended since, units are requested
     /// again.
--- a/crates/core/src/quota/slices.rs
+++ b/crates/core/src/quota/slices.rs
@@ -217,6 +217,20 @@
         slice.valid_until = slice.valid_until.max(until);
     }
 
+    /// Records the total of the first grant in a window that an earlier process of this node may have taken part in.
+    /// The total counts that process's units too, which it may have used, so none of them is given to calls; later
+    /// grants add to this total. Returns whether this was the first grant.
+    pub fn skip_earlier_units(&self, tenant: &str, window: u64, granted_total: u64) -> bool {
+        let mut slices = self.slices.lock_shard(tenant);
+        let slice = slices.entry(tenant.to_owned()).or_default();
+        slice.start_window(window);
+        let is_first = slice.window == window && slice.granted_total == 0;
+        if is_first {
+            slice.granted_total = granted_total;
+        }
+        is_first
+    }
+
     /// Records the lease holder's report that a window is spent. The window ends at `ends_at` or slightly earlier.
     pub fn record_window_spent(&self, tenant: &str, window: u64, ends_at: Micros, now: Micros) {
         let mut slices = self.slices.lock_shard(tenant);
--- a/crates/core/tests/request_numbers.rs
+++ b/crates/core/tests/request_numbers.rs
@@ -11,11 +11,15 @@
 use sumacvale_core::protocol::{
     Change, ConsensusMessage, DisseminationMessage, LeaseMessage, MembershipMessage, Message, QuotaMessage,
 };
+use sumacvale_core::quota::AcquireOutcome;
 
+/// The quota of the tenant with long windows, in calls.
+const QUOTA: u64 = 50;
 /// The core without a vote; the voters are the machines 1 to 3.
 const WITHOUT_VOTE: u64 = 4;
-/// A document with a tenant whose quota counts in windows and one that has a rate.
+/// A document with tenants whose quotas count in short and in long windows, and one that has a rate.
 const DOCUMENT: &str = "{\"tenants\":{\"windows\":{\"keys\":[],\"quota\":{\"calls\":50,\"window_ms\":400}},\
+                        \"long\":{\"keys\":[],\"quota\":{\"calls\":50,\"window_ms\":600000}},\
                         \"rate\":{\"keys\":[],\"quota\":{\"rate\":100,\"burst\":100}}}}";
 
 /// Returns the kind and the number of a request whose reply repeats the number.
@@ -113,3 +117,44 @@
         assert!(compared.contains(kind), "{kind} is not sent at all: {compared:?}");
     }
 }
+
+/// Takes units of the tenant with long windows at a core, as its callers would. Returns how many it got.
+fn take_units(fleet: &mut Fleet, machine: u64, wanted: u64) -> u64 {
+    let mut taken = 0;
+    for _ in 0..80 {
+        if taken == wanted {
+            break;
+        }
+        let effects = fleet.step(machine, Event::QuotaNeeded { tenant: "long".into(), waiting: 1 });
+        fleet.apply_effects(machine, effects);
+        fleet.run(25 * MS);
+        let now = fleet.now;
+        while taken < wanted
+            && matches!(fleet.node(machine).quota.slices.acquire_unit("long", now), AcquireOutcome::Acquired { .. })
+        {
+            taken += 1;
+        }
+    }
+    taken
+}
+
+/// Guards against units that the process before the restart has used and the new one is granted again: the total that the
+/// lease holder grants counts both processes.
+#[test]
+fn a_restarted_core_gets_no_unit_that_its_earlier_process_used() {
+    for restarted in 1..=WITHOUT_VOTE {
+        let mut fleet = start_fleet();
+        let before = take_units(&mut fleet, restarted, 20);
+        assert_eq!(before, 20, "machine {restarted}");
+        fleet.stop(restarted);
+        fleet.restart(restarted);
+        fleet.run(3 * SEC);
+        let after = take_units(&mut fleet, restarted, QUOTA);
+        let others = (1..=WITHOUT_VOTE).filter(|machine| *machine != restarted);
+        let others: u64 =
+            others.collect::<Vec<_>>().iter().map(|machine| take_units(&mut fleet, *machine, QUOTA)).sum();
+        let total = before + after + others;
+        assert!(total <= QUOTA, "machine {restarted}: {before}, then {after}, others {others}");
+        assert!(total >= QUOTA * 4 / 5, "machine {restarted}: only {before}, then {after}, others {others}");
+    }
+}
